--- /dev/null
+++ b/source/message/frame_codec.h
@@ -0,0 +1,31 @@
+#ifndef SOURCE_MESSAGE_FRAME_CODEC_H_
+#define SOURCE_MESSAGE_FRAME_CODEC_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "source/base/error.h"
+#include "source/message/message.h"
+
+namespace fulmarrock {
+
+/// Largest frame that is sent or accepted.
+inline constexpr size_t kMaxFrameBytes = size_t{4} << 20;
+
+/// Version of the frame layout. Fields of a message may be added at the end
+/// without a new version.
+inline constexpr uint16_t kFrameVersion = 1;
+
+/// Encodes a message with its header: magic, version, type, length, checksum.
+std::string EncodeFrame(const Message& message);
+
+/// Decodes one whole frame. Fails with kCorruption on a foreign protocol, a
+/// truncated or oversized frame, a wrong checksum or a malformed body, and with
+/// kInvalidArgument on a type this version does not know.
+Result<Message> DecodeFrame(std::string_view frame);
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_MESSAGE_FRAME_CODEC_H_
--- /dev/null
+++ b/source/message/message.cc
@@ -0,0 +1,27 @@
+#include "source/message/message.h"
+
+#include <array>
+
+namespace fulmarrock {
+namespace {
+
+constexpr std::array<std::string_view, std::variant_size_v<Message>> kNames = {
+    "TargetAnnounce",  "RequestForward",    "RequestReply",
+    "RequestCancel",   "RequestQuery",      "RequestQueryReply",
+    "ClaimRequest",    "ClaimReply",        "ClaimOutcome",
+    "ClaimOutcomeAck", "ResponseFetch",     "ResponseFetchReply",
+    "WorkerAnnounce",  "WorkerAnnounceAck", "LeaseRenew",
+    "LeaseRenewReply", "LeaseReport",       "GrantBatch",
+    "StopBatch",       "TaskEvents",        "TaskEventsAck",
+    "UsageReport",     "ConfigPoll",        "ConfigDelta",
+    "ConfigCopy",      "ConfigAck",         "VoteRequest",
+    "VoteReply",       "AppendRequest",     "AppendReply",
+    "SnapshotChunk",   "SnapshotAck"};
+
+}  // namespace
+
+std::string_view MessageName(const Message& message) {
+  return kNames[message.index()];
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/message/message.h
@@ -0,0 +1,54 @@
+#ifndef SOURCE_MESSAGE_MESSAGE_H_
+#define SOURCE_MESSAGE_MESSAGE_H_
+
+#include <string_view>
+#include <variant>
+
+#include "source/message/config_messages.h"
+#include "source/message/consensus_messages.h"
+#include "source/message/request_messages.h"
+#include "source/message/task_messages.h"
+
+namespace fulmarrock {
+
+/// Every message between processes of the system. The position of a type is its
+/// number in the frame: new types go to the end, and none is ever removed.
+using Message = std::variant<TargetAnnounce,
+                             RequestForward,
+                             RequestReply,
+                             RequestCancel,
+                             RequestQuery,
+                             RequestQueryReply,
+                             ClaimRequest,
+                             ClaimReply,
+                             ClaimOutcome,
+                             ClaimOutcomeAck,
+                             ResponseFetch,
+                             ResponseFetchReply,
+                             WorkerAnnounce,
+                             WorkerAnnounceAck,
+                             LeaseRenew,
+                             LeaseRenewReply,
+                             LeaseReport,
+                             GrantBatch,
+                             StopBatch,
+                             TaskEvents,
+                             TaskEventsAck,
+                             UsageReport,
+                             ConfigPoll,
+                             ConfigDelta,
+                             ConfigCopy,
+                             ConfigAck,
+                             VoteRequest,
+                             VoteReply,
+                             AppendRequest,
+                             AppendReply,
+                             SnapshotChunk,
+                             SnapshotAck>;
+
+/// Returns the type name of a message, for counters and traces.
+std::string_view MessageName(const Message& message);
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_MESSAGE_MESSAGE_H_
