Layout: Add interfaces between the layers

Consensus, placement, agent, entry and control meet only at these headers, so each can be built and tested against small fakes of the others.

--- a/cmake/FulmarrockTargets.cmake
+++ b/cmake/FulmarrockTargets.cmake
@@ -9,7 +9,9 @@
 endif()
 if(FULMARROCK_SANITIZER)
   target_compile_options(fulmarrock_options INTERFACE
-    -fsanitize=${FULMARROCK_SANITIZER} -fno-omit-frame-pointer -fno-sanitize-recover=all)
+    -fsanitize=${FULMARROCK_SANITIZER} -fno-omit-frame-pointer -fno-sanitize-recover=all
+    # g++ 12 reports members of std::function as uninitialized under sanitizers.
+    -Wno-maybe-uninitialized -O1)
   target_link_options(fulmarrock_options INTERFACE -fsanitize=${FULMARROCK_SANITIZER})
 endif()
 target_link_libraries(fulmarrock_options INTERFACE Threads::Threads)
--- /dev/null
+++ b/source/consensus/replicated_log.h
@@ -0,0 +1,50 @@
+#ifndef SOURCE_CONSENSUS_REPLICATED_LOG_H_
+#define SOURCE_CONSENSUS_REPLICATED_LOG_H_
+
+#include <string>
+#include <vector>
+
+#include "source/base/error.h"
+#include "source/base/ids.h"
+#include "source/message/consensus_messages.h"
+
+namespace fulmarrock {
+
+/// What the control role needs of the consensus group.
+class ReplicatedLog {
+ public:
+  virtual ~ReplicatedLog() = default;
+
+  /// Appends a command if this member is the leader, and returns its index.
+  /// Commands proposed within one tick share a sync and a round of messages.
+  /// Fails with kNotLeader, or with kResourceExhausted when too many commands
+  /// are uncommitted. Acceptance is no promise: the command counts only once
+  /// it reaches StateMachine::Apply().
+  virtual Result<LogIndex> Propose(std::string command) = 0;
+
+  /// Whether this member leads and a quorum answered within the last election
+  /// timeout.
+  virtual bool IsLeader() const = 0;
+
+  /// The leader as far as known, or empty.
+  virtual NodeId Leader() const = 0;
+
+  virtual Term CurrentTerm() const = 0;
+  virtual LogIndex CommitIndex() const = 0;
+
+  /// The membership in effect.
+  virtual std::vector<Member> Members() const = 0;
+
+  /// Adds a member as a learner; it becomes a voter once it has caught up.
+  /// Fails with kNotLeader, or kConflict while another change is in progress.
+  virtual Result<LogIndex> AddMember(const NodeId& node,
+                                     Incarnation incarnation) = 0;
+
+  /// Removes a member. Same errors as AddMember(), and kFailedPrecondition for
+  /// the last voter.
+  virtual Result<LogIndex> RemoveMember(const NodeId& node) = 0;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_CONSENSUS_REPLICATED_LOG_H_
--- /dev/null
+++ b/source/control/operator_service.h
@@ -0,0 +1,147 @@
+#ifndef SOURCE_CONTROL_OPERATOR_SERVICE_H_
+#define SOURCE_CONTROL_OPERATOR_SERVICE_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "source/base/error.h"
+#include "source/base/ids.h"
+#include "source/base/resources.h"
+#include "source/message/config_messages.h"
+#include "source/message/consensus_messages.h"
+#include "source/message/task_messages.h"
+
+namespace fulmarrock {
+
+/// Change of the two lists on top of a known version.
+struct ApplyRequest {
+  /// Chosen by the operator's tool; a repeat gets the first result again.
+  std::string operation_id;
+  uint64_t base_version = 0;
+  Configuration configuration;
+};
+
+/// Submission of a job.
+struct SubmitRequest {
+  std::string operation_id;
+  JobSpec spec;
+};
+
+/// State of one task.
+enum class TaskState : uint8_t {
+  kPending,
+  kRunning,
+  kEvicting,
+  kCancelling,
+  kCompleted,
+  kFailed,
+  kCancelled,
+};
+constexpr TaskState MaxValue(TaskState) {
+  return TaskState::kCancelled;
+}
+std::string_view ToString(TaskState state);
+
+/// One task for a person.
+struct TaskView {
+  uint32_t index = 0;
+  TaskState state = TaskState::kPending;
+  Epoch epoch = 0;
+  NodeId worker;
+  uint32_t failed_attempts = 0;
+  uint32_t evictions = 0;
+  std::string detail;
+};
+
+/// One job for a person.
+struct JobView {
+  JobId id = 0;
+  JobSpec spec;
+  uint32_t pending = 0;
+  uint32_t running = 0;
+  uint32_t completed = 0;
+  uint32_t failed = 0;
+  uint32_t cancelled = 0;
+  /// Why the job waits, failed or can never run; empty otherwise.
+  std::string reason;
+  /// Filled only when one job is shown.
+  std::vector<TaskView> tasks;
+};
+
+/// One worker for a person.
+struct WorkerView {
+  NodeId node;
+  std::string data_centre;
+  std::string rack;
+  Resources capacity;
+  Resources used;
+  uint32_t running_tasks = 0;
+  bool is_draining = false;
+  bool is_quarantined = false;
+  bool is_alive = false;
+};
+
+/// Version of the configuration in effect at one process.
+struct ProcessVersion {
+  NodeId node;
+  uint64_t version = 0;
+  /// Time since the process last polled.
+  Millis age;
+};
+
+/// State of the group for a person.
+struct ClusterStatus {
+  NodeId member;
+  NodeId leader;
+  Term term = 0;
+  LogIndex commit_index = 0;
+  std::vector<Member> members;
+  uint64_t configuration_version = 0;
+  std::vector<ProcessVersion> processes;
+  std::vector<WorkerView> workers;
+  uint64_t pending_tasks = 0;
+  uint64_t running_tasks = 0;
+};
+
+/// What operators and customers ask of control. All calls come on the role's
+/// thread; `done` is called once on the same thread, when the change is
+/// committed or has failed. Changes fail with kNotLeader at a follower; the
+/// error's remedy names the leader if it is known.
+class OperatorService {
+ public:
+  template <typename T>
+  using Done = std::function<void(Result<T>)>;
+
+  virtual ~OperatorService() = default;
+
+  /// Yields the new version. Fails with kConflict when `base_version` is not
+  /// the newest one, and kInvalidArgument for inconsistent lists.
+  virtual void ApplyConfiguration(ApplyRequest request,
+                                  Done<uint64_t> done) = 0;
+  virtual void SubmitJob(SubmitRequest request, Done<JobId> done) = 0;
+
+  /// Cancels jobs in one log entry; yields how many tasks were affected.
+  virtual void CancelJobs(std::vector<JobId> jobs, Done<uint64_t> done) = 0;
+
+  /// Stops or resumes placing tasks on a worker.
+  virtual void SetWorkerDraining(NodeId worker,
+                                 bool is_draining,
+                                 Done<bool> done) = 0;
+  virtual void AddMember(NodeId node,
+                         Incarnation incarnation,
+                         Done<bool> done) = 0;
+  virtual void RemoveMember(NodeId node, Done<bool> done) = 0;
+
+  /// Reads of this member's state; a follower's may be old.
+  virtual ConfigCopy GetConfiguration() const = 0;
+  virtual Result<JobView> ShowJob(JobId job) const = 0;
+  virtual std::vector<JobView> ListJobs(std::string_view customer) const = 0;
+  virtual ClusterStatus GetStatus() const = 0;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_CONTROL_OPERATOR_SERVICE_H_
