Interactive: Add the request path from entry to target

Entries route callers' requests by reported load and own requests in flight, follow every copy by queries until its fate is known, retry within a budget and quarantine failing targets. Agents queue fairly, refuse what cannot meet its deadline and keep refusals and outcomes in bounded memory.

Each copy of a request has an id of its own, so that a late answer to a former copy is told apart; a non-idempotent request has one copy. When an agent drops an old record, it keeps the highest dropped sequence number of that entry, and never runs an id at or below it.

--- /dev/null
+++ b/source/entry/config_client.cc
@@ -0,0 +1,84 @@
+#include "source/entry/config_client.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarrock {
+
+ConfigClient::ConfigClient(Options options,
+                           const Clock& clock,
+                           Transport& transport,
+                           Counters& counters)
+    : m_options(std::move(options)),
+      m_clock(clock),
+      m_transport(transport),
+      m_counters(counters),
+      m_next_action(clock.Now()) {}
+
+void ConfigClient::OnTick() {
+  if (m_options.members.empty() || m_clock.Now() < m_next_action)
+    return;
+  if (m_is_waiting) {
+    m_counters.Add("config_poll_unanswered");
+    m_member = (m_member + 1) % m_options.members.size();
+  }
+  Poll();
+}
+
+void ConfigClient::OnDelta(const NodeId& from, const ConfigDelta& delta) {
+  if (!IsMember(from))
+    return;
+  if (delta.changes.empty()) {
+    m_is_waiting = false;
+    m_next_action = m_clock.Now() + m_options.poll_interval;
+    return;
+  }
+  uint64_t previous = m_version;
+  for (const ConfigurationChange& change : delta.changes) {
+    if (change.version <= previous) {
+      m_counters.Add("config_delta_dropped");
+      return;
+    }
+    previous = change.version;
+  }
+  // A delta on another base does not lead to the content of its version.
+  if (delta.from_version != m_version) {
+    m_counters.Add("config_delta_dropped");
+    return;
+  }
+  for (const ConfigurationChange& change : delta.changes)
+    ApplyChange(change, m_configuration);
+  Accept(from, previous);
+}
+
+void ConfigClient::OnCopy(const NodeId& from, const ConfigCopy& copy) {
+  if (!IsMember(from))
+    return;
+  if (copy.version <= m_version) {
+    m_counters.Add("config_copy_dropped");
+    return;
+  }
+  m_configuration = copy.configuration;
+  Accept(from, copy.version);
+}
+
+bool ConfigClient::IsMember(const NodeId& node) const {
+  return std::find(m_options.members.begin(), m_options.members.end(), node) !=
+         m_options.members.end();
+}
+
+void ConfigClient::Poll() {
+  m_is_waiting = true;
+  m_next_action = m_clock.Now() + m_options.answer_timeout;
+  m_transport.Send(m_options.members[m_member], ConfigPoll{m_version});
+}
+
+void ConfigClient::Accept(const NodeId& from, uint64_t version) {
+  m_version = version;
+  m_is_waiting = false;
+  m_next_action = m_clock.Now() + m_options.poll_interval;
+  m_counters.Add("config_changes");
+  m_transport.Send(from, ConfigAck{version});
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/entry/config_client.h
@@ -0,0 +1,56 @@
+#ifndef SOURCE_ENTRY_CONFIG_CLIENT_H_
+#define SOURCE_ENTRY_CONFIG_CLIENT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "source/base/clock.h"
+#include "source/base/counters.h"
+#include "source/message/transport.h"
+
+namespace fulmarrock {
+
+/// Keeps the two lists up to date by polling control members. Never moves to a
+/// lower version.
+class ConfigClient {
+ public:
+  struct Options {
+    std::vector<NodeId> members;
+    Millis poll_interval{2000};
+    /// A member that does not answer for this long is replaced by the next.
+    Millis answer_timeout{500};
+  };
+
+  ConfigClient(Options options,
+               const Clock& clock,
+               Transport& transport,
+               Counters& counters);
+
+  void OnTick();
+  void OnDelta(const NodeId& from, const ConfigDelta& delta);
+  void OnCopy(const NodeId& from, const ConfigCopy& copy);
+
+  /// Version in effect; zero before the first one arrived.
+  uint64_t version() const { return m_version; }
+  const Configuration& configuration() const { return m_configuration; }
+
+ private:
+  bool IsMember(const NodeId& node) const;
+  void Poll();
+  void Accept(const NodeId& from, uint64_t version);
+
+  Options m_options;
+  const Clock& m_clock;
+  Transport& m_transport;
+  Counters& m_counters;
+  Configuration m_configuration;
+  uint64_t m_version = 0;
+  size_t m_member = 0;
+  bool m_is_waiting = false;
+  Millis m_next_action;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_ENTRY_CONFIG_CLIENT_H_
--- /dev/null
+++ b/source/entry/plan_admission.h
@@ -0,0 +1,35 @@
+#ifndef SOURCE_ENTRY_PLAN_ADMISSION_H_
+#define SOURCE_ENTRY_PLAN_ADMISSION_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "source/entry/admission_policy.h"
+
+namespace fulmarrock {
+
+/// Baseline: limits the requests in progress of each customer by its plan, and
+/// those of all customers by a constant.
+class PlanAdmission : public AdmissionPolicy {
+ public:
+  /// `max_total` bounds the memory that requests in progress take.
+  explicit PlanAdmission(int64_t max_total) : m_max_total(max_total) {}
+
+  Result<void> Admit(std::string_view customer,
+                     std::string_view service,
+                     const Plan* plan) override;
+  void OnEnded(std::string_view customer,
+               std::string_view service,
+               AdmissionSignal signal,
+               Millis now) override;
+
+ private:
+  int64_t m_max_total;
+  int64_t m_total = 0;
+  std::map<std::string, int64_t, std::less<>> m_in_progress;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_ENTRY_PLAN_ADMISSION_H_
--- /dev/null
+++ b/source/entry/target_table.h
@@ -0,0 +1,93 @@
+#ifndef SOURCE_ENTRY_TARGET_TABLE_H_
+#define SOURCE_ENTRY_TARGET_TABLE_H_
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "source/base/ids.h"
+#include "source/base/millis.h"
+#include "source/message/request_messages.h"
+
+namespace fulmarrock {
+
+/// One target as an entry sees it.
+struct Target {
+  NodeId node;
+  std::string service;
+  std::string data_centre;
+  Incarnation incarnation = 0;
+  bool is_leaving = false;
+  std::vector<std::string> affinities;
+  /// Last announcement or reply.
+  Millis last_heard;
+  /// Last reported load, and the instant it was measured on the local clock.
+  TargetLoad load;
+  Millis load_time;
+  /// Own requests in progress there, now and when the load arrived.
+  int32_t own_in_flight = 0;
+  int32_t own_at_load = 0;
+  /// Incarnations that ended; delayed announcements of them are ignored.
+  std::deque<Incarnation> former_incarnations;
+
+  /// Requests of other entries there, from the last report.
+  int32_t OthersInFlight() const;
+};
+
+/// The targets that announced themselves, in bounded memory.
+class TargetTable {
+ public:
+  struct Options {
+    /// A target silent for this long gets no new work: four announcements.
+    Millis silence_timeout{2000};
+    /// A target silent for this long is forgotten.
+    Millis retention{60'000};
+    size_t max_targets = 20'000;
+  };
+
+  explicit TargetTable(Options options) : m_options(options) {}
+
+  /// Returns whether the target is new or announced a new incarnation.
+  bool OnAnnounce(const NodeId& from,
+                  const TargetAnnounce& announce,
+                  Millis now);
+
+  /// Takes the load that came with a reply of the given incarnation.
+  void OnLoad(const NodeId& from,
+              Incarnation incarnation,
+              const TargetLoad& load,
+              Millis now);
+
+  void AddInFlight(const NodeId& node, Incarnation incarnation);
+  void RemoveInFlight(const NodeId& node, Incarnation incarnation);
+
+  /// Returns the targets of a service that take new work, ordered by name.
+  std::vector<const Target*> FindUsable(std::string_view service,
+                                        Millis now) const;
+
+  /// Returns the only usable target that announces the affinity. Returns null
+  /// when there is none or, while ownership moves, more than one.
+  const Target* FindOwner(std::string_view service,
+                          std::string_view affinity,
+                          Millis now) const;
+
+  const Target* Find(const NodeId& node) const;
+
+  /// Forgets targets that have been silent for long.
+  void ForgetSilent(Millis now);
+
+  const std::map<NodeId, Target>& targets() const { return m_targets; }
+
+ private:
+  bool IsUsable(const Target& target, Millis now) const;
+
+  Options m_options;
+  std::map<NodeId, Target> m_targets;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_ENTRY_TARGET_TABLE_H_
--- /dev/null
+++ b/tests/interactive/interactive_world.h
@@ -0,0 +1,232 @@
+#ifndef TESTS_INTERACTIVE_INTERACTIVE_WORLD_H_
+#define TESTS_INTERACTIVE_INTERACTIVE_WORLD_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "source/agent/request_server.h"
+#include "source/base/seeded_random.h"
+#include "source/entry/entry_role.h"
+#include "tests/interactive/fake_control.h"
+#include "tests/interactive/fake_target.h"
+#include "tests/support/fake_network.h"
+
+namespace fulmarrock::test {
+
+/// One request of a caller and what came of it.
+struct Call {
+  RequestId id;
+  int entry = 0;
+  CallerRequest request;
+  Millis submitted;
+  std::vector<CallerReply> replies;
+  Millis answered;
+  /// The entry ended before it could answer.
+  bool is_abandoned = false;
+};
+
+/// Takes the answers of all entries. The faults break the sink itself, to show
+/// that the oracle notices.
+class RecordingSink : public CallerSink {
+ public:
+  enum class Fault { kNone, kDropReply, kRepeatReply };
+
+  explicit RecordingSink(ManualClock& clock) : m_clock(clock) {}
+
+  void Reply(RequestId id, CallerReply reply) override {
+    if (fault == Fault::kDropReply)
+      return;
+    Call& call = calls.at(index.at(id));
+    call.replies.push_back(reply);
+    call.answered = m_clock.Now();
+    if (fault == Fault::kRepeatReply)
+      call.replies.push_back(std::move(reply));
+  }
+
+  std::vector<Call> calls;
+  std::map<RequestId, size_t> index;
+  Fault fault = Fault::kNone;
+
+ private:
+  ManualClock& m_clock;
+};
+
+/// Several real entries and agents with fake targets and a fake control member,
+/// over the fake network.
+class InteractiveWorld {
+ public:
+  InteractiveWorld(int entries, int agents, uint64_t seed)
+      : random(seed),
+        network(clock, random),
+        sink(clock),
+        control(network.TransportOf("control-1")) {
+    network.SetHandler("control-1",
+                       [this](const NodeId& from, const Message& message) {
+                         control.OnMessage(from, message);
+                       });
+    m_entries.resize(static_cast<size_t>(entries));
+    m_agents.resize(static_cast<size_t>(agents));
+    for (int i = 0; i < agents; ++i)
+      m_agents[static_cast<size_t>(i)].target =
+          std::make_unique<FakeTarget>(clock);
+    for (int i = 0; i < entries; ++i)
+      StartEntry(i);
+    for (int i = 0; i < agents; ++i)
+      StartAgent(i);
+    Run(Millis(50));
+  }
+
+  static NodeId EntryName(int i) { return "entry-" + std::to_string(i); }
+  static NodeId AgentName(int i) { return "agent-" + std::to_string(i); }
+
+  /// Starts or restarts an entry under a new incarnation.
+  void StartEntry(int i) {
+    EntryNode& node = m_entries.at(static_cast<size_t>(i));
+    for (Call& call : sink.calls) {
+      if (call.entry == i && call.replies.empty())
+        call.is_abandoned = true;
+    }
+    EntryOptions options;
+    options.id = EntryName(i);
+    options.incarnation = ++m_last_incarnation;
+    options.data_centre = "dc-1";
+    options.control_members = {"control-1"};
+    options.unconfigured_concurrency = 1000;
+    node.role.reset();
+    node.role = std::make_unique<EntryRole>(
+        options, clock, network.TransportOf(options.id), random, sink);
+    network.SetHandler(options.id,
+                       [&node](const NodeId& from, const Message& message) {
+                         node.role->OnMessage(from, message);
+                       });
+  }
+
+  /// Starts or restarts an agent under a new incarnation. The connections of
+  /// its predecessor to the target break.
+  void StartAgent(int i) {
+    AgentNode& node = m_agents.at(static_cast<size_t>(i));
+    node.target->Disconnect();
+    RequestServerOptions options;
+    options.service = "wallwright";
+    options.data_centre = "dc-1";
+    options.incarnation = ++m_last_incarnation;
+    for (size_t j = 0; j < m_entries.size(); ++j)
+      options.entries.push_back(EntryName(static_cast<int>(j)));
+    node.leaving_since = Millis::Max();
+    node.server.reset();
+    node.server = std::make_unique<RequestServer>(
+        options, clock, network.TransportOf(AgentName(i)), *node.target,
+        node.counters);
+    network.SetHandler(AgentName(i),
+                       [&node](const NodeId& from, const Message& message) {
+                         node.server->OnMessage(from, message);
+                       });
+  }
+
+  void DrainAgent(int i) {
+    AgentNode& node = m_agents.at(static_cast<size_t>(i));
+    if (node.leaving_since == Millis::Max())
+      node.leaving_since = clock.Now();
+    node.server->BeginShutdown();
+  }
+
+  RequestId Submit(int entry, CallerRequest request) {
+    Call call;
+    call.entry = entry;
+    call.request = request;
+    call.submitted = clock.Now();
+    call.id = this->entry(entry).Submit(std::move(request));
+    sink.index[call.id] = sink.calls.size();
+    sink.calls.push_back(call);
+    return call.id;
+  }
+
+  /// A request with a body of its own.
+  CallerRequest MakeRequest(bool is_idempotent, Millis deadline) {
+    CallerRequest request;
+    request.customer = "north-gallery";
+    request.service = "wallwright";
+    request.is_idempotent = is_idempotent;
+    request.deadline = deadline;
+    request.body = "body-" + std::to_string(++m_last_body);
+    return request;
+  }
+
+  const Call& call(RequestId id) const {
+    return sink.calls.at(sink.index.at(id));
+  }
+
+  /// Lets time pass in steps of one millisecond.
+  void Run(Millis duration) {
+    for (const Millis end = clock.Now() + duration; clock.Now() < end;) {
+      clock.Advance(Millis(1));
+      network.DeliverDue();
+      for (AgentNode& node : m_agents) {
+        node.target->Step();
+        CheckLeaving(node);
+      }
+      if (clock.Now().count() % kTickInterval.count() != 0)
+        continue;
+      for (EntryNode& node : m_entries)
+        node.role->OnTick();
+      for (AgentNode& node : m_agents)
+        node.server->OnTick();
+    }
+  }
+
+  EntryRole& entry(int i) { return *m_entries.at(static_cast<size_t>(i)).role; }
+  RequestServer& agent(int i) {
+    return *m_agents.at(static_cast<size_t>(i)).server;
+  }
+  Counters& agent_counters(int i) {
+    return m_agents.at(static_cast<size_t>(i)).counters;
+  }
+  FakeTarget& target(int i) {
+    return *m_agents.at(static_cast<size_t>(i)).target;
+  }
+  int agent_count() const { return static_cast<int>(m_agents.size()); }
+  int entry_count() const { return static_cast<int>(m_entries.size()); }
+
+  /// Starts at a target more than three seconds after it began to leave.
+  int late_starts() const { return m_late_starts; }
+
+  ManualClock clock;
+  SeededRandom random;
+  FakeNetwork network;
+  RecordingSink sink;
+  FakeControl control;
+
+ private:
+  struct EntryNode {
+    std::unique_ptr<EntryRole> role;
+  };
+  struct AgentNode {
+    std::unique_ptr<FakeTarget> target;
+    std::unique_ptr<RequestServer> server;
+    Counters counters;
+    Millis leaving_since = Millis::Max();
+    size_t seen_executions = 0;
+  };
+
+  void CheckLeaving(AgentNode& node) {
+    const auto& executions = node.target->executions();
+    for (; node.seen_executions < executions.size(); ++node.seen_executions) {
+      if (node.leaving_since != Millis::Max() &&
+          clock.Now() > node.leaving_since + Millis(3000))
+        ++m_late_starts;
+    }
+  }
+
+  std::vector<EntryNode> m_entries;
+  std::vector<AgentNode> m_agents;
+  Incarnation m_last_incarnation = 100;
+  int m_last_body = 0;
+  int m_late_starts = 0;
+};
+
+}  // namespace fulmarrock::test
+
+#endif  // TESTS_INTERACTIVE_INTERACTIVE_WORLD_H_
