--- /dev/null
+++ b/source/config/json_reader.h
@@ -0,0 +1,71 @@
+#ifndef SOURCE_CONFIG_JSON_READER_H_
+#define SOURCE_CONFIG_JSON_READER_H_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "source/base/error.h"
+#include "source/config/field_errors.h"
+
+namespace fulmarrock {
+
+/// Parses JSON with comments. Fails with kInvalidArgument on malformed text, on
+/// a name that stands twice in an object, and on deep nesting; the message
+/// names the line.
+Result<nlohmann::json> ParseJson(std::string_view text);
+
+/// Reads the fields of one JSON object and reports every wrong, missing or
+/// unknown one. A read that fails returns the default or an empty value.
+class JsonReader {
+ public:
+  /// `value` and `errors` outlive the reader.
+  JsonReader(const nlohmann::json& value,
+             std::string path,
+             FieldErrors& errors);
+
+  /// Reads a string; without a default the field is required and not empty.
+  std::string String(const std::string& name,
+                     std::optional<std::string> fallback = std::nullopt);
+
+  /// Reads an integer in [minimum, maximum].
+  int64_t Integer(const std::string& name,
+                  int64_t minimum,
+                  int64_t maximum,
+                  std::optional<int64_t> fallback = std::nullopt);
+
+  bool Boolean(const std::string& name, bool fallback);
+
+  /// Reads an array of strings that may be absent.
+  std::vector<std::string> Strings(const std::string& name);
+
+  /// Returns readers for an array of objects that may be absent.
+  std::vector<JsonReader> Objects(const std::string& name);
+
+  /// Returns a reader for an object, or nothing if it is absent or no object.
+  std::optional<JsonReader> Object(const std::string& name);
+
+  /// Reports a problem with a field that the type alone does not show.
+  void Report(const std::string& name, std::string message, std::string remedy);
+
+  /// Reports every field that was never read.
+  void Finish();
+
+ private:
+  const nlohmann::json* Find(const std::string& name);
+  std::string PathOf(const std::string& name) const;
+
+  const nlohmann::json& m_value;
+  std::string m_path;
+  FieldErrors& m_errors;
+  std::set<std::string> m_known;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_CONFIG_JSON_READER_H_
--- /dev/null
+++ b/source/config/settings.cc
@@ -0,0 +1,208 @@
+#include "source/config/settings.h"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "source/config/json_reader.h"
+
+namespace fulmarrock {
+namespace {
+
+constexpr size_t kMaxFileBytes = size_t{1} << 20;
+constexpr int64_t kMaxSlots = 1024;
+constexpr int64_t kMaxConnections = 4096;
+constexpr int64_t kMaxObjectiveMs = 600'000;
+constexpr int64_t kMaxShutdownMs = 3'600'000;
+
+/// Processes find each other by IP number, so host names are refused.
+bool IsIpAndPort(const std::string& address) {
+  const size_t colon = address.rfind(':');
+  if (colon == std::string::npos)
+    return false;
+  std::string host = address.substr(0, colon);
+  if (host.size() >= 2 && host.front() == '[' && host.back() == ']')
+    host = host.substr(1, host.size() - 2);
+  unsigned char parsed[sizeof(in6_addr)];
+  if (inet_pton(AF_INET, host.c_str(), parsed) != 1 &&
+      inet_pton(AF_INET6, host.c_str(), parsed) != 1) {
+    return false;
+  }
+  const char* begin = address.data() + colon + 1;
+  const char* end = address.data() + address.size();
+  int port = -1;
+  const auto result = std::from_chars(begin, end, port);
+  return result.ec == std::errc() && result.ptr == end && port >= 0 &&
+         port <= 65535;
+}
+
+std::string ReadAddress(JsonReader& reader,
+                        const std::string& name,
+                        bool is_required) {
+  std::string address =
+      is_required ? reader.String(name) : reader.String(name, "");
+  if (!address.empty() && !IsIpAndPort(address))
+    reader.Report(name, "\"" + address + "\" is not an IP number and port",
+                  "write it as \"10.0.0.1:7000\"");
+  return address;
+}
+
+std::vector<PeerSettings> ReadPeers(JsonReader& reader,
+                                    const std::string& name) {
+  std::vector<PeerSettings> peers;
+  for (JsonReader& item : reader.Objects(name)) {
+    PeerSettings peer;
+    peer.node = item.String("node");
+    peer.peer_address = ReadAddress(item, "peer", true);
+    peer.http_address = ReadAddress(item, "http", false);
+    item.Finish();
+    const bool is_repeated = std::any_of(
+        peers.begin(), peers.end(),
+        [&peer](const auto& other) { return other.node == peer.node; });
+    if (is_repeated)
+      item.Report("node", "\"" + peer.node + "\" stands twice",
+                  "give each process its own name");
+    peers.push_back(std::move(peer));
+  }
+  return peers;
+}
+
+TargetSettings ReadTarget(JsonReader& reader) {
+  TargetSettings target;
+  target.service = reader.String("service");
+  target.address = ReadAddress(reader, "address", true);
+  target.slots = reader.Integer("slots", 1, kMaxSlots, target.slots);
+  target.connections =
+      reader.Integer("connections", 1, kMaxConnections, target.connections);
+  target.latency_objective =
+      Millis(reader.Integer("latency_objective_ms", 1, kMaxObjectiveMs,
+                            target.latency_objective.count()));
+  target.affinities = reader.Strings("affinities");
+  reader.Finish();
+  return target;
+}
+
+WorkerSettings ReadWorker(JsonReader& reader) {
+  WorkerSettings worker;
+  worker.address = ReadAddress(reader, "address", true);
+  worker.capacity.cpu_millicores =
+      reader.Integer("cpu_millicores", 1, Resources::kMaxAmount);
+  worker.capacity.memory_mib =
+      reader.Integer("memory_mib", 1, Resources::kMaxAmount);
+  worker.capacity.accelerators =
+      reader.Integer("accelerators", 0, Resources::kMaxAmount, 0);
+  reader.Finish();
+  return worker;
+}
+
+void ReadRoles(JsonReader& reader, Settings& settings) {
+  for (const std::string& role : reader.Strings("roles")) {
+    if (role == "entry")
+      settings.runs_entry = true;
+    else if (role == "agent")
+      settings.runs_agent = true;
+    else if (role == "control")
+      settings.runs_control = true;
+    else
+      reader.Report("roles", "\"" + role + "\" is not a role",
+                    "use \"entry\", \"agent\" or \"control\"");
+  }
+  if (!settings.runs_entry && !settings.runs_agent && !settings.runs_control)
+    reader.Report("roles", "names no role",
+                  "list one or more of \"entry\", \"agent\", \"control\"");
+}
+
+void CheckRoles(const Settings& settings, JsonReader& reader) {
+  if (settings.runs_control && settings.data_folder.empty())
+    reader.Report("data_folder", "is missing but the control role needs it",
+                  "name a folder on a disk of this instance");
+  if (settings.control_members.empty())
+    reader.Report("control", "names no member",
+                  "list the control members with their addresses");
+  const bool is_member = std::any_of(
+      settings.control_members.begin(), settings.control_members.end(),
+      [&settings](const auto& peer) { return peer.node == settings.node; });
+  if (settings.runs_control && !settings.control_members.empty() && !is_member)
+    reader.Report("control", "does not list this node",
+                  "add \"" + settings.node + "\" or remove the control role");
+  if (settings.runs_agent && !settings.target && !settings.worker)
+    reader.Report("target", "is missing, and so is worker",
+                  "describe what runs beside the agent: target, worker or "
+                  "both");
+  if (settings.target && !settings.runs_agent)
+    reader.Report("target", "is set without the agent role",
+                  "add \"agent\" to roles or remove target");
+  if (settings.worker && !settings.runs_agent)
+    reader.Report("worker", "is set without the agent role",
+                  "add \"agent\" to roles or remove worker");
+  if (settings.target && settings.entries.empty())
+    reader.Report("entries", "is empty but the target needs entries",
+                  "list the entry processes of this service");
+}
+
+void ReadLog(JsonReader& reader, Settings& settings) {
+  std::optional<JsonReader> log = reader.Object("log");
+  if (!log)
+    return;
+  settings.log_file = log->String("file", "");
+  settings.log_debug = log->Boolean("debug", false);
+  log->Finish();
+}
+
+}  // namespace
+
+Result<Settings> ParseSettings(std::string_view text) {
+  const Result<nlohmann::json> document = ParseJson(text);
+  if (!document)
+    return tl::make_unexpected(document.error());
+  FieldErrors errors;
+  JsonReader reader(*document, "", errors);
+  Settings settings;
+  settings.node = reader.String("node");
+  settings.region = reader.String("region", "");
+  settings.data_centre = reader.String("data_centre");
+  settings.rack = reader.String("rack", "");
+  ReadRoles(reader, settings);
+  settings.peer_listen = ReadAddress(reader, "peer_listen", true);
+  settings.http_listen = ReadAddress(reader, "http_listen", true);
+  settings.data_folder = reader.String("data_folder", "");
+  settings.control_members = ReadPeers(reader, "control");
+  settings.entries = ReadPeers(reader, "entries");
+  if (std::optional<JsonReader> target = reader.Object("target"))
+    settings.target = ReadTarget(*target);
+  if (std::optional<JsonReader> worker = reader.Object("worker"))
+    settings.worker = ReadWorker(*worker);
+  ReadLog(reader, settings);
+  settings.shutdown_limit = Millis(reader.Integer(
+      "shutdown_limit_ms", 0, kMaxShutdownMs, settings.shutdown_limit.count()));
+  CheckRoles(settings, reader);
+  reader.Finish();
+  if (!errors.empty())
+    return errors.ToError();
+  return settings;
+}
+
+Result<std::string> ReadTextFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return MakeError(ErrorKind::kIo, "cannot open \"" + path + "\"",
+                     "check that the file exists and is readable");
+  }
+  std::string text(kMaxFileBytes + 1, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<size_t>(file.gcount()));
+  if (text.size() > kMaxFileBytes) {
+    return MakeError(ErrorKind::kResourceExhausted,
+                     "\"" + path + "\" is larger than 1 MiB",
+                     "check that the right file is named");
+  }
+  return text;
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/config/settings.h
@@ -0,0 +1,81 @@
+#ifndef SOURCE_CONFIG_SETTINGS_H_
+#define SOURCE_CONFIG_SETTINGS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "source/base/error.h"
+#include "source/base/ids.h"
+#include "source/base/millis.h"
+#include "source/base/resources.h"
+
+namespace fulmarrock {
+
+/// Address of another process of the system.
+struct PeerSettings {
+  NodeId node;
+  /// Where it accepts messages, as "ip:port".
+  std::string peer_address;
+  /// Where it serves HTTP, as "ip:port"; empty when not needed.
+  std::string http_address;
+};
+
+/// The target beside an agent.
+struct TargetSettings {
+  std::string service;
+  /// Where the target serves HTTP, as "ip:port".
+  std::string address;
+  int64_t slots = 8;
+  int64_t connections = 64;
+  /// Objective for the p99 of the service; neighbours are throttled beyond it.
+  Millis latency_objective{200};
+  /// Affinity names that only this target serves.
+  std::vector<std::string> affinities;
+};
+
+/// The worker beside an agent.
+struct WorkerSettings {
+  /// Where the worker serves its API, as "ip:port".
+  std::string address;
+  Resources capacity;
+};
+
+/// Settings of one daemon.
+struct Settings {
+  NodeId node;
+  std::string region;
+  std::string data_centre;
+  std::string rack;
+  bool runs_entry = false;
+  bool runs_agent = false;
+  bool runs_control = false;
+  /// Where this process accepts messages of other processes, as "ip:port".
+  std::string peer_listen;
+  /// Where this process serves HTTP, as "ip:port".
+  std::string http_listen;
+  /// Folder of the durable state; required for control.
+  std::string data_folder;
+  std::vector<PeerSettings> control_members;
+  std::vector<PeerSettings> entries;
+  std::optional<TargetSettings> target;
+  std::optional<WorkerSettings> worker;
+  /// Folder for log files; empty means standard error.
+  std::string log_file;
+  bool log_debug = false;
+  /// Time a planned stop may take before the process exits anyway.
+  Millis shutdown_limit{30'000};
+};
+
+/// Reads settings from JSON with comments. One kInvalidArgument error lists
+/// every wrong, missing or unknown field with its place and remedy.
+Result<Settings> ParseSettings(std::string_view text);
+
+/// Reads a whole file of at most 1 MiB. Fails with kIo or kResourceExhausted.
+Result<std::string> ReadTextFile(const std::string& path);
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_CONFIG_SETTINGS_H_
--- /dev/null
+++ b/tests/config/settings_test.cc
@@ -0,0 +1,77 @@
+#include "source/config/settings.h"
+
+#include <string>
+
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+namespace fulmarrock {
+namespace {
+
+constexpr char kValid[] = R"({
+  // A process with all roles.
+  "node": "all-1", "data_centre": "dc-a", "rack": "r1",
+  "roles": ["entry", "agent", "control"],
+  "peer_listen": "127.0.0.1:7000", "http_listen": "127.0.0.1:8000",
+  "data_folder": "data",
+  "control": [{"node": "all-1", "peer": "127.0.0.1:7000"}],
+  "entries": [{"node": "all-1", "peer": "127.0.0.1:7000"}],
+  "target": {"service": "wallwright", "address": "127.0.0.1:9000"}
+})";
+
+TEST_CASE("valid settings are read with their defaults") {
+  const Result<Settings> settings = ParseSettings(kValid);
+  REQUIRE(settings);
+  CHECK(settings->runs_control);
+  CHECK(settings->target->slots == 8);
+  CHECK(settings->target->connections == 64);
+}
+
+// Guards against reporting only the first of several errors.
+TEST_CASE("every wrong field is reported at once with its place") {
+  const Result<Settings> settings = ParseSettings(R"({
+    "node": 7, "data_centre": "dc-a", "roles": ["entry", "proxy"],
+    "peer_listen": "localhost:7000", "http_listen": "127.0.0.1:99999",
+    "control": [{"node": "c1", "peer": "127.0.0.1:1"},
+                {"node": "c1", "peer": "127.0.0.1:2"}],
+    "target": {"service": "s", "address": "127.0.0.1:1", "slots": 0},
+    "colour": "red"
+  })");
+  REQUIRE_FALSE(settings);
+  const std::string& text = settings.error().message;
+  for (const char* place :
+       {"/node:", "/roles:", "/peer_listen:", "/http_listen:",
+        "/control/1/node:", "/target/slots:", "/target:", "/entries:",
+        "/colour:"}) {
+    CAPTURE(text, place);
+    CHECK(text.find(place) != std::string::npos);
+  }
+}
+
+TEST_CASE("a field that stands twice is refused") {
+  const Result<Settings> settings =
+      ParseSettings(R"({"node": "a", "node": "b"})");
+  REQUIRE_FALSE(settings);
+  CHECK(settings.error().message.find("stands twice") != std::string::npos);
+}
+
+TEST_CASE("deep nesting is refused") {
+  std::string text(100'000, '[');
+  REQUIRE_FALSE(ParseSettings(text));
+}
+
+// Guards against crashes on settings damaged by an editor or a full disk.
+TEST_CASE("settings with damaged bytes never crash the reader") {
+  const bool is_ok = rc::check([](size_t position, char byte, bool is_cut) {
+    std::string text = kValid;
+    text[position % text.size()] = byte;
+    if (is_cut)
+      text.resize(position % text.size());
+    const Result<Settings> settings = ParseSettings(text);
+    RC_ASSERT(settings || !settings.error().message.empty());
+  });
+  CHECK(is_ok);
+}
+
+}  // namespace
+}  // namespace fulmarrock
