--- /dev/null
+++ b/source/tool/http_session.h
@@ -0,0 +1,39 @@
+#ifndef SOURCE_TOOL_HTTP_SESSION_H_
+#define SOURCE_TOOL_HTTP_SESSION_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "source/base/error.h"
+#include "source/base/millis.h"
+
+namespace fulmarrock::tool {
+
+/// Answer to an HTTP request.
+struct HttpAnswer {
+  long status = 0;
+  std::string body;
+};
+
+/// Blocking HTTP client of the tool.
+class HttpSession {
+ public:
+  explicit HttpSession(Millis timeout);
+  ~HttpSession();
+  HttpSession(const HttpSession&) = delete;
+  HttpSession& operator=(const HttpSession&) = delete;
+
+  /// Sends one request. Fails with kUnavailable when there is no answer.
+  Result<HttpAnswer> Send(std::string_view method,
+                          const std::string& url,
+                          std::string_view body);
+
+ private:
+  struct Data;
+  std::unique_ptr<Data> m_data;
+};
+
+}  // namespace fulmarrock::tool
+
+#endif  // SOURCE_TOOL_HTTP_SESSION_H_
