Agent: Let workers enforce leases when their agent dies

An agent process can die while its worker goes on. Control grants the tasks again when the lease has expired, so the worker itself has to stop running them by then. The agent passes every renewal on, and a new agent first stops what its predecessor left behind.

--- a/source/agent/worker_client.h
+++ b/source/agent/worker_client.h
@@ -16,6 +16,15 @@
  public:
   virtual ~WorkerClient() = default;
 
+  /// Stops every task of an earlier agent process. A new agent calls this
+  /// first; later calls take effect after it.
+  virtual void StopAll() = 0;
+
+  /// Lets all tasks run for this long from now. Without a further call the
+  /// worker suspends them by itself, so that the tasks of a dead agent do not
+  /// run beyond their leases, and stops them after one more lease term.
+  virtual void ExtendLeases(Millis remaining) = 0;
+
   /// Starts a task, from its checkpoint if the grant names one.
   virtual void Start(const TaskGrant& grant) = 0;
 
