Net: Add event loop, HTTP/2 transport and HTTP front ends

The roles need a shell that drives their ticks, carries their messages between processes and takes callers' requests. The event loop runs timers and descriptors on one thread; the transport sends each message as one POST over a persistent nghttp2 connection per peer and replaces a silent one; the front ends serve callers and diagnostics through libmicrohttpd.

tests/net passes, also with the thread sanitizer.

--- /dev/null
+++ b/source/net/caller_front_end.h
@@ -0,0 +1,62 @@
+#ifndef SOURCE_NET_CALLER_FRONT_END_H_
+#define SOURCE_NET_CALLER_FRONT_END_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+#include "source/base/clock.h"
+#include "source/entry/caller_sink.h"
+#include "source/net/http_server.h"
+#include "source/net/latency_histogram.h"
+
+namespace fulmarrock {
+
+/// Takes callers' requests from HTTP to the entry role and its answers back.
+/// docs/interfaces/caller.md documents the headers and statuses.
+class CallerFrontEnd : public CallerSink {
+ public:
+  /// Hands a request to the entry. The answer may come before it returns.
+  using Submit = std::function<RequestId(const CallerRequest&)>;
+
+  CallerFrontEnd(const Clock& clock, HttpServer& server);
+
+  /// Sets where requests go; must be called before the server starts.
+  void SetSubmit(Submit submit) { m_submit = std::move(submit); }
+
+  void Reply(RequestId id, CallerReply reply) override;
+
+  /// Requests handed to the entry and not answered yet.
+  size_t waiting_count() const { return m_waiting.size(); }
+
+  /// Appends the latency of answered requests by class and the counts by
+  /// outcome, in the text exposition format.
+  void AppendMetrics(std::string& text) const;
+
+ private:
+  struct Waiting {
+    HttpServer::Responder responder;
+    RequestClass request_class;
+    Millis since;
+  };
+
+  void OnRequest(HttpRequest request, const HttpServer::Responder& responder);
+  void Finish(RequestId id, const Waiting& waiting, CallerReply reply);
+
+  const Clock& m_clock;
+  Submit m_submit;
+  std::unordered_map<RequestId, Waiting> m_waiting;
+  // Answers that came while the request was still being submitted.
+  std::unordered_map<RequestId, CallerReply> m_early;
+  bool m_is_submitting = false;
+  std::map<RequestClass, LatencyHistogram> m_latency;
+  std::map<Outcome, int64_t> m_outcomes;
+};
+
+/// Reads a caller's request from its HTTP form.
+Result<CallerRequest> ParseCallerRequest(HttpRequest request);
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_NET_CALLER_FRONT_END_H_
--- /dev/null
+++ b/source/net/http2_connection.h
@@ -0,0 +1,105 @@
+#ifndef SOURCE_NET_HTTP2_CONNECTION_H_
+#define SOURCE_NET_HTTP2_CONNECTION_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "source/base/error.h"
+#include "source/base/ids.h"
+#include "source/base/millis.h"
+#include "source/net/event_loop.h"
+#include "source/net/unique_fd.h"
+
+struct nghttp2_session;
+
+namespace fulmarrock {
+
+/// One HTTP/2 connection between two processes. The client side sends frames as
+/// POST bodies; the server side receives them and answers each with 204.
+class Http2Connection {
+ public:
+  enum class Side { kClient, kServer };
+
+  /// Receives what happens on a connection, on the loop's thread.
+  class Listener {
+   public:
+    virtual ~Listener() = default;
+
+    /// Server side: a whole body arrived. An error closes the connection.
+    virtual Result<void> OnBody(const NodeId& sender,
+                                const std::string& sender_address,
+                                const std::string& body) = 0;
+
+    /// Client side: the peer acknowledged a frame, so another may be sent.
+    virtual void OnAcknowledged(Http2Connection& connection) = 0;
+
+    /// The connection ended. The listener destroys it later, not in this call.
+    virtual void OnClosed(Http2Connection& connection, const Error& error) = 0;
+  };
+
+  Http2Connection(EventLoop& loop, Side side, UniqueFd fd, Listener& listener);
+  ~Http2Connection();
+  Http2Connection(const Http2Connection&) = delete;
+  Http2Connection& operator=(const Http2Connection&) = delete;
+
+  /// Sends one frame. `sender_address` may be empty.
+  void Send(const NodeId& sender,
+            const std::string& sender_address,
+            std::string frame);
+
+  /// Writes what is queued, as far as the socket takes it.
+  void Flush();
+
+  /// Closes the socket without telling the listener.
+  void Shut();
+
+  /// Sends a PING when none was sent for a while.
+  void Ping();
+
+  /// Whether the peer has proven that it speaks the protocol.
+  bool is_ready() const { return m_is_ready; }
+  bool is_closed() const { return m_is_closed; }
+
+  /// Time since the peer last sent anything, or since the connection began.
+  Millis SilentTime() const { return m_loop.clock().Now() - m_last_receive; }
+
+  /// Frames sent and not acknowledged, and the sum of their sizes.
+  size_t in_flight() const { return m_streams.size(); }
+  size_t in_flight_bytes() const { return m_stream_bytes; }
+
+ private:
+  struct Stream;
+  struct Callbacks;
+
+  void OnEvents(uint32_t events);
+  void Receive();
+  void UpdateWatch();
+  void FinishBody(int32_t stream_id, Stream& stream);
+  void EraseStream(int32_t stream_id);
+  void Close(Error error);
+
+  EventLoop& m_loop;
+  const Side m_side;
+  UniqueFd m_fd;
+  Listener& m_listener;
+  nghttp2_session* m_session = nullptr;
+  std::map<int32_t, std::unique_ptr<Stream>> m_streams;
+  size_t m_stream_bytes = 0;
+  std::string m_output;
+  size_t m_output_sent = 0;
+  uint32_t m_watched_events = 0;
+  Millis m_last_receive;
+  Millis m_last_ping;
+  bool m_is_ready = false;
+  bool m_is_closed = false;
+  // Set inside nghttp2's callbacks, where the session must not be destroyed.
+  Error m_callback_error;
+  bool m_has_callback_error = false;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_NET_HTTP2_CONNECTION_H_
--- /dev/null
+++ b/source/net/http2_transport.cc
@@ -0,0 +1,391 @@
+#include "source/net/http2_transport.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "source/message/frame_codec.h"
+#include "source/net/socket_address.h"
+
+namespace fulmarrock {
+namespace {
+
+constexpr Millis kCheckInterval{100};
+constexpr Millis kSuspectAfter{1'000};
+constexpr Millis kReplaceAfter{2'000};
+// A peer pings twice a second, so a longer silence means that it is gone.
+constexpr Millis kIncomingSilence{10'000};
+constexpr Millis kFirstBackoff{50};
+constexpr Millis kMaxBackoff{2'000};
+constexpr size_t kMaxInFlight = 100;
+// The receiver buffers at most two frames of the largest size.
+constexpr size_t kMaxInFlightBytes = kMaxFrameBytes;
+
+// Bounds what a peer with changing names can make this process remember.
+constexpr size_t kMaxPeers = 20'000;
+
+/// Whether a newer message of the same kind makes this one useless.
+bool IsPeriodic(const Message& message) {
+  if (const auto* append = std::get_if<AppendRequest>(&message))
+    return append->entries.empty();
+  return std::holds_alternative<TargetAnnounce>(message) ||
+         std::holds_alternative<WorkerAnnounce>(message) ||
+         std::holds_alternative<LeaseRenew>(message) ||
+         std::holds_alternative<UsageReport>(message) ||
+         std::holds_alternative<ConfigPoll>(message);
+}
+
+}  // namespace
+
+struct Http2Transport::Peer {
+  Peer(const PeerQueueLimits& limits, Counters& counters)
+      : queue(limits, counters) {}
+
+  std::string address;
+  bool is_address_fixed = false;
+  PeerQueue queue;
+  std::unique_ptr<Http2Connection> active;
+  /// Opened beside a suspect active connection.
+  std::unique_ptr<Http2Connection> candidate;
+  Millis backoff;
+  Millis next_attempt;
+  bool is_dirty = false;
+};
+
+Http2Transport::Http2Transport(EventLoop& loop,
+                               TransportOptions options,
+                               RandomSource& random,
+                               Handler handler)
+    : m_loop(loop),
+      m_options(std::move(options)),
+      m_random(random),
+      m_handler(std::move(handler)) {
+  for (const auto& [node, address] : m_options.peers) {
+    auto peer = std::make_unique<Peer>(m_options.queue_limits, m_counters);
+    peer->address = address;
+    peer->is_address_fixed = true;
+    m_peers.emplace(node, std::move(peer));
+  }
+}
+
+Http2Transport::~Http2Transport() {
+  Stop();
+}
+
+Result<void> Http2Transport::Start() {
+  Result<UniqueFd> fd = ListenTcp(m_options.listen_address);
+  if (!fd)
+    return tl::make_unexpected(fd.error());
+  m_listener = std::move(*fd);
+  m_address = m_options.announced_address.empty()
+                  ? LocalAddress(m_listener.get())
+                  : m_options.announced_address;
+  m_loop.Watch(m_listener.get(), EPOLLIN, [this](uint32_t) { Accept(); });
+  ScheduleTick();
+  return {};
+}
+
+void Http2Transport::Stop() {
+  m_loop.CancelTimer(m_tick_timer);
+  if (m_listener.is_open()) {
+    m_loop.Unwatch(m_listener.get());
+    m_listener.Reset();
+  }
+  m_incoming.clear();
+  for (const auto& [node, peer] : m_peers) {
+    peer->active.reset();
+    peer->candidate.reset();
+  }
+}
+
+void Http2Transport::Send(const NodeId& to, const Message& message) {
+  if (to == m_options.self) {
+    m_counters.Add("transport_loopback_messages");
+    m_loop.Post([this, message, alive = std::weak_ptr<int>(m_alive)] {
+      if (!alive.expired())
+        m_handler(m_options.self, message);
+    });
+    return;
+  }
+  const auto it = m_peers.find(to);
+  if (it == m_peers.end()) {
+    m_counters.Add("transport_unknown_peer");
+    return;
+  }
+  std::string frame = EncodeFrame(message);
+  if (frame.size() > kMaxFrameBytes) {
+    m_counters.Add("transport_oversized_sends");
+    return;
+  }
+  Peer& peer = *it->second;
+  peer.queue.Push(std::move(frame), IsPeriodic(message), m_loop.clock().Now());
+  MarkDirty(peer);
+}
+
+void Http2Transport::LearnAddress(const NodeId& node,
+                                  std::string_view address) {
+  if (node == m_options.self || address.empty() || !ParseAddress(address))
+    return;
+  if (!m_peers.contains(node) && m_peers.size() >= kMaxPeers) {
+    m_counters.Add("transport_refused_peers");
+    return;
+  }
+  std::unique_ptr<Peer>& peer = m_peers[node];
+  if (!peer)
+    peer = std::make_unique<Peer>(m_options.queue_limits, m_counters);
+  if (peer->is_address_fixed || peer->address == address)
+    return;
+  peer->address = address;
+  peer->next_attempt = Millis();
+  Retire(std::move(peer->active));
+  Retire(std::move(peer->candidate));
+}
+
+bool Http2Transport::IsIdle() const {
+  return std::all_of(m_peers.begin(), m_peers.end(), [](const auto& entry) {
+    const Peer& peer = *entry.second;
+    return peer.queue.is_empty() &&
+           (!peer.active || peer.active->in_flight() == 0);
+  });
+}
+
+std::string Http2Transport::DumpState() const {
+  nlohmann::json json;
+  json["self"] = m_options.self;
+  json["address"] = m_address;
+  json["incoming_connections"] = m_incoming.size();
+  json["last_error"] = m_last_error.Describe();
+  json["peers"] = nlohmann::json::object();
+  for (const auto& [node, peer] : m_peers) {
+    json["peers"][node] = {
+        {"address", peer->address},
+        {"is_connected", peer->active && peer->active->is_ready()},
+        {"has_candidate", peer->candidate != nullptr},
+        {"in_flight", peer->active ? peer->active->in_flight() : 0},
+        {"queued", peer->queue.size()},
+        {"queued_bytes", peer->queue.bytes()}};
+  }
+  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+Result<void> Http2Transport::OnBody(const NodeId& sender,
+                                    const std::string& sender_address,
+                                    const std::string& body) {
+  Result<Message> message = DecodeFrame(body);
+  if (!message) {
+    // A message type of a newer version is skipped; versions are mixed.
+    if (message.error().kind == ErrorKind::kInvalidArgument) {
+      m_counters.Add("transport_unknown_messages");
+      return {};
+    }
+    return tl::make_unexpected(std::move(message.error()));
+  }
+  LearnAddress(sender, sender_address);
+  m_counters.Add("transport_received_messages");
+  m_counters.Add("transport_received_bytes", static_cast<int64_t>(body.size()));
+  m_handler(sender, *message);
+  return {};
+}
+
+void Http2Transport::OnAcknowledged(Http2Connection& connection) {
+  const auto owner = m_owners.find(&connection);
+  if (owner != m_owners.end() && !owner->second->queue.is_empty())
+    MarkDirty(*owner->second);
+}
+
+void Http2Transport::OnClosed(Http2Connection& connection, const Error& error) {
+  CountError(error);
+  const auto incoming = m_incoming.find(&connection);
+  if (incoming != m_incoming.end()) {
+    Retire(std::move(incoming->second));
+    m_incoming.erase(incoming);
+    return;
+  }
+  const auto owner = m_owners.find(&connection);
+  if (owner == m_owners.end())
+    return;
+  Peer& peer = *owner->second;
+  if (peer.candidate.get() == &connection) {
+    Retire(std::move(peer.candidate));
+    return;
+  }
+  m_counters.Add("transport_lost_in_flight",
+                 static_cast<int64_t>(connection.in_flight()));
+  Retire(std::move(peer.active));
+  peer.active = std::move(peer.candidate);
+  SetBackoff(peer);
+}
+
+void Http2Transport::Accept() {
+  while (true) {
+    UniqueFd fd(::accept4(m_listener.get(), nullptr, nullptr,
+                          SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!fd.is_open())
+      return;
+    if (m_incoming.size() >= m_options.max_incoming_connections) {
+      m_counters.Add("transport_refused_connections");
+      continue;
+    }
+    const int on = 1;
+    ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    m_counters.Add("transport_accepted_connections");
+    auto connection = std::make_unique<Http2Connection>(
+        m_loop, Http2Connection::Side::kServer, std::move(fd),
+        static_cast<Http2Connection::Listener&>(*this));
+    Http2Connection* key = connection.get();
+    m_incoming.emplace(key, std::move(connection));
+  }
+}
+
+void Http2Transport::ScheduleTick() {
+  m_tick_timer = m_loop.AddTimer(kCheckInterval, [this] {
+    OnTick();
+    ScheduleTick();
+  });
+}
+
+void Http2Transport::OnTick() {
+  for (const auto& [node, peer] : m_peers)
+    CheckPeer(*peer);
+  for (auto it = m_incoming.begin(); it != m_incoming.end();) {
+    if (it->second->SilentTime() < kIncomingSilence) {
+      ++it;
+      continue;
+    }
+    m_counters.Add("transport_silent_incoming");
+    Retire(std::move(it->second));
+    it = m_incoming.erase(it);
+  }
+}
+
+void Http2Transport::CheckPeer(Peer& peer) {
+  if (!peer.active) {
+    if (!peer.queue.is_empty())
+      MarkDirty(peer);
+    return;
+  }
+  if (peer.active->is_ready())
+    peer.backoff = Millis();
+  peer.active->Ping();
+  // Ping() may have found the connection broken.
+  if (!peer.active)
+    return;
+  const Millis silent = peer.active->SilentTime();
+  if (silent < kSuspectAfter) {
+    Retire(std::move(peer.candidate));
+    return;
+  }
+  if (silent < kReplaceAfter) {
+    if (!peer.candidate)
+      Connect(peer);
+    return;
+  }
+  m_counters.Add("transport_replaced_connections");
+  m_counters.Add("transport_lost_in_flight",
+                 static_cast<int64_t>(peer.active->in_flight()));
+  Retire(std::move(peer.active));
+  peer.active = std::move(peer.candidate);
+  if (!peer.active)
+    SetBackoff(peer);
+  MarkDirty(peer);
+}
+
+void Http2Transport::Connect(Peer& peer) {
+  m_counters.Add("transport_connects");
+  Result<UniqueFd> fd = ConnectTcp(peer.address);
+  if (!fd) {
+    CountError(fd.error());
+    SetBackoff(peer);
+    return;
+  }
+  auto connection = std::make_unique<Http2Connection>(
+      m_loop, Http2Connection::Side::kClient, std::move(*fd),
+      static_cast<Http2Connection::Listener&>(*this));
+  m_owners.emplace(connection.get(), &peer);
+  (peer.active ? peer.candidate : peer.active) = std::move(connection);
+}
+
+void Http2Transport::SetBackoff(Peer& peer) {
+  peer.backoff = std::clamp(peer.backoff * 2, kFirstBackoff, kMaxBackoff);
+  // Between half and the whole of the backoff, so that peers of a restarted
+  // process do not come back at the same instant.
+  const Millis half = peer.backoff / 2;
+  const Millis jitter(static_cast<int64_t>(
+      m_random.Below(static_cast<uint64_t>(half.count()) + 1)));
+  peer.next_attempt = m_loop.clock().Now() + half + jitter;
+}
+
+void Http2Transport::Pump(Peer& peer) {
+  const Millis now = m_loop.clock().Now();
+  if (!peer.active)
+    return;
+  Http2Connection& connection = *peer.active;
+  while (!connection.is_closed() && connection.in_flight() < kMaxInFlight &&
+         (connection.in_flight() == 0 ||
+          connection.in_flight_bytes() < kMaxInFlightBytes)) {
+    std::optional<std::string> frame = peer.queue.Pop(now);
+    if (!frame)
+      break;
+    m_counters.Add("transport_sent_messages");
+    m_counters.Add("transport_sent_bytes", static_cast<int64_t>(frame->size()));
+    connection.Send(m_options.self, m_address, std::move(*frame));
+  }
+  connection.Flush();
+}
+
+void Http2Transport::MarkDirty(Peer& peer) {
+  if (peer.is_dirty)
+    return;
+  peer.is_dirty = true;
+  m_dirty.push_back(&peer);
+  if (m_dirty.size() > 1)
+    return;
+  m_loop.Post([this, alive = std::weak_ptr<int>(m_alive)] {
+    if (!alive.expired())
+      FlushDirty();
+  });
+}
+
+void Http2Transport::FlushDirty() {
+  const std::vector<Peer*> dirty = std::exchange(m_dirty, {});
+  for (Peer* peer : dirty) {
+    peer->is_dirty = false;
+    if (!peer->active && m_listener.is_open() &&
+        m_loop.clock().Now() >= peer->next_attempt) {
+      Connect(*peer);
+    }
+    Pump(*peer);
+  }
+}
+
+void Http2Transport::Retire(std::unique_ptr<Http2Connection> connection) {
+  if (!connection)
+    return;
+  m_owners.erase(connection.get());
+  connection->Shut();
+  // May run within the connection's own functions, so it is destroyed later.
+  m_loop.Post([doomed = std::shared_ptr<Http2Connection>(
+                   std::move(connection))]() mutable { doomed.reset(); });
+}
+
+void Http2Transport::CountError(const Error& error) {
+  m_last_error = error;
+  switch (error.kind) {
+    case ErrorKind::kCorruption:
+      m_counters.Add("transport_corrupt_connections");
+      break;
+    case ErrorKind::kResourceExhausted:
+      m_counters.Add("transport_oversized_frames");
+      break;
+    default:
+      m_counters.Add("transport_io_errors");
+  }
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/net/http2_transport.h
@@ -0,0 +1,114 @@
+#ifndef SOURCE_NET_HTTP2_TRANSPORT_H_
+#define SOURCE_NET_HTTP2_TRANSPORT_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "source/base/counters.h"
+#include "source/base/random_source.h"
+#include "source/message/transport.h"
+#include "source/net/event_loop.h"
+#include "source/net/http2_connection.h"
+#include "source/net/peer_queue.h"
+#include "source/net/unique_fd.h"
+
+namespace fulmarrock {
+
+/// Settings of the transport.
+struct TransportOptions {
+  NodeId self;
+  /// Where messages are accepted, as "ip:port"; port 0 lets the system choose.
+  std::string listen_address;
+  /// Address to tell peers; the listening address when empty.
+  std::string announced_address;
+  /// Addresses from the settings; learned ones never replace them.
+  std::map<NodeId, std::string> peers;
+  PeerQueueLimits queue_limits;
+  size_t max_incoming_connections = 8192;
+};
+
+/// Transport over one persistent HTTP/2 connection per peer and direction.
+/// Belongs to the thread of its loop.
+///
+/// A connection from which nothing came for a second while PINGs are out is
+/// suspect: a second one is opened beside it, and takes its place when the
+/// first stays silent for two seconds in total. Frames that were in flight are
+/// counted as lost and not sent again, since a repeat could run a request
+/// twice; roles repeat what is safe to repeat.
+class Http2Transport : public Transport, private Http2Connection::Listener {
+ public:
+  using Handler = std::function<void(const NodeId& from, const Message&)>;
+
+  Http2Transport(EventLoop& loop,
+                 TransportOptions options,
+                 RandomSource& random,
+                 Handler handler);
+  ~Http2Transport() override;
+
+  /// Opens the listening socket. Connections to peers open on demand.
+  Result<void> Start();
+
+  /// Closes everything. Start() may follow.
+  void Stop();
+
+  void Send(const NodeId& to, const Message& message) override;
+  void LearnAddress(const NodeId& node, std::string_view address) override;
+
+  /// Address that peers are told.
+  const std::string& address() const { return m_address; }
+
+  /// Whether no frame waits or is in flight.
+  bool IsIdle() const;
+
+  /// Returns connections and queues as JSON.
+  std::string DumpState() const;
+
+  const Counters& counters() const { return m_counters; }
+
+ private:
+  struct Peer;
+
+  Result<void> OnBody(const NodeId& sender,
+                      const std::string& sender_address,
+                      const std::string& body) override;
+  void OnAcknowledged(Http2Connection& connection) override;
+  void OnClosed(Http2Connection& connection, const Error& error) override;
+
+  void Accept();
+  void ScheduleTick();
+  void OnTick();
+  void CheckPeer(Peer& peer);
+  void Connect(Peer& peer);
+  void SetBackoff(Peer& peer);
+  void Pump(Peer& peer);
+  void MarkDirty(Peer& peer);
+  void FlushDirty();
+  void Retire(std::unique_ptr<Http2Connection> connection);
+  void CountError(const Error& error);
+
+  EventLoop& m_loop;
+  const TransportOptions m_options;
+  RandomSource& m_random;
+  Handler m_handler;
+  Counters m_counters;
+  std::string m_address;
+  UniqueFd m_listener;
+  std::map<NodeId, std::unique_ptr<Peer>> m_peers;
+  std::map<Http2Connection*, std::unique_ptr<Http2Connection>> m_incoming;
+  std::unordered_map<Http2Connection*, Peer*> m_owners;
+  std::vector<Peer*> m_dirty;
+  EventLoop::TimerId m_tick_timer = 0;
+  Error m_last_error;
+  // Posted functions outlive the transport; they hold this token weakly.
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_NET_HTTP2_TRANSPORT_H_
--- /dev/null
+++ b/source/net/http_server.cc
@@ -0,0 +1,319 @@
+#include "source/net/http_server.h"
+
+#include <microhttpd.h>
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cstring>
+#include <utility>
+
+#include "source/net/json_response.h"
+#include "source/net/socket_address.h"
+
+namespace fulmarrock {
+namespace {
+
+// Headers of one request; the body has its own limit.
+constexpr size_t kConnectionMemory = 32 * 1024;
+
+std::string ToLower(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return lower;
+}
+
+MHD_Result CollectHeader(void* target,
+                         MHD_ValueKind,
+                         const char* key,
+                         const char* value) {
+  auto& headers =
+      *static_cast<std::map<std::string, std::string, std::less<>>*>(target);
+  headers[ToLower(key)] = value ? value : "";
+  return MHD_YES;
+}
+
+MHD_Result CollectArgument(void* target,
+                           MHD_ValueKind,
+                           const char* key,
+                           const char* value) {
+  auto& query =
+      *static_cast<std::map<std::string, std::string, std::less<>>*>(target);
+  query[key] = value ? value : "";
+  return MHD_YES;
+}
+
+/// Header values must not contain line breaks.
+std::string CleanHeaderValue(std::string value) {
+  std::replace_if(
+      value.begin(), value.end(),
+      [](unsigned char c) { return c < 0x20 || c == 0x7F; }, ' ');
+  return value;
+}
+
+}  // namespace
+
+/// One request from its first header to the end of its answer.
+class HttpServer::Call {
+ public:
+  HttpServer* server = nullptr;
+  MHD_Connection* connection = nullptr;
+  HttpRequest request;
+  HttpResponse response;
+  bool is_too_large = false;
+  bool is_dispatched = false;
+  bool is_answered = false;
+  bool is_suspended = false;
+
+  MHD_Result Queue() {
+    MHD_Response* reply = MHD_create_response_from_buffer(
+        response.body.size(), response.body.data(), MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(reply, MHD_HTTP_HEADER_CONTENT_TYPE,
+                            response.content_type.c_str());
+    for (const auto& [name, value] : response.headers) {
+      MHD_add_response_header(reply, name.c_str(),
+                              CleanHeaderValue(value).c_str());
+    }
+    const MHD_Result result = MHD_queue_response(
+        connection, static_cast<unsigned>(response.status), reply);
+    MHD_destroy_response(reply);
+    return result;
+  }
+};
+
+/// Functions that libmicrohttpd calls with the server as user data.
+struct HttpServer::Callbacks {
+  static MHD_Result OnAccess(void* user,
+                             MHD_Connection* connection,
+                             const char* url,
+                             const char* method,
+                             const char*,
+                             const char* data,
+                             size_t* data_size,
+                             void** state) {
+    auto& server = *static_cast<HttpServer*>(user);
+    if (!*state)
+      return Begin(server, connection, url, method, state);
+    Call& call = *static_cast<Call*>(*state);
+    if (*data_size > 0) {
+      AddBody(server, call, {data, *data_size});
+      *data_size = 0;
+      return MHD_YES;
+    }
+    if (call.is_answered)
+      return call.Queue();
+    if (!call.is_dispatched) {
+      call.is_dispatched = true;
+      server.Dispatch(*Find(server, &call));
+    }
+    if (call.is_answered)
+      return call.Queue();
+    call.is_suspended = true;
+    MHD_suspend_connection(connection);
+    return MHD_YES;
+  }
+
+  static void OnCompleted(void* user,
+                          MHD_Connection*,
+                          void** state,
+                          MHD_RequestTerminationCode code) {
+    auto& server = *static_cast<HttpServer*>(user);
+    if (!*state)
+      return;
+    if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+      server.m_counters.Add("http_aborted_requests");
+    const auto it = Find(server, static_cast<Call*>(*state));
+    if (it != server.m_calls.end())
+      server.m_calls.erase(it);
+    *state = nullptr;
+  }
+
+  static std::unordered_set<std::shared_ptr<Call>>::iterator Find(
+      HttpServer& server,
+      Call* call) {
+    // An alias without ownership has the hash of the owned pointer.
+    return server.m_calls.find(
+        std::shared_ptr<Call>(std::shared_ptr<Call>(), call));
+  }
+
+  static MHD_Result Begin(HttpServer& server,
+                          MHD_Connection* connection,
+                          const char* url,
+                          const char* method,
+                          void** state) {
+    server.m_counters.Add("http_requests");
+    auto call = std::make_shared<Call>();
+    call->server = &server;
+    call->connection = connection;
+    call->request.method = method;
+    call->request.path = url;
+    MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
+                              &call->request.headers);
+    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
+                              &CollectArgument, &call->request.query);
+    *state = call.get();
+    server.m_calls.insert(call);
+    const std::string length(call->request.Header("content-length"));
+    if (std::strtoull(length.c_str(), nullptr, 10) <=
+        server.m_options.max_body_bytes) {
+      return MHD_YES;
+    }
+    // Answered before the body is read; the connection closes afterwards.
+    RefuseBody(server, *call);
+    return call->Queue();
+  }
+
+  static void AddBody(HttpServer& server, Call& call, std::string_view data) {
+    if (call.is_answered)
+      return;
+    if (call.request.body.size() + data.size() >
+        server.m_options.max_body_bytes) {
+      call.request.body = {};
+      RefuseBody(server, call);
+      return;
+    }
+    call.request.body.append(data);
+  }
+
+  static void RefuseBody(HttpServer& server, Call& call) {
+    server.m_counters.Add("http_oversized_bodies");
+    call.is_answered = true;
+    call.response = MakeErrorResponse(
+        413, {ErrorKind::kResourceExhausted,
+              "the body exceeds the limit of " +
+                  std::to_string(server.m_options.max_body_bytes) + " bytes",
+              "send a smaller body"});
+  }
+};
+
+void HttpServer::Responder::Respond(HttpResponse response) const {
+  const std::shared_ptr<Call> call = m_call.lock();
+  if (!call || call->is_answered)
+    return;
+  call->is_answered = true;
+  call->response = std::move(response);
+  if (!call->is_suspended)
+    return;
+  call->is_suspended = false;
+  MHD_resume_connection(call->connection);
+  call->server->ScheduleRun();
+}
+
+HttpServer::HttpServer(EventLoop& loop, HttpServerOptions options)
+    : m_loop(loop), m_options(std::move(options)) {}
+
+HttpServer::~HttpServer() {
+  Stop();
+}
+
+void HttpServer::Route(std::string method,
+                       std::string path_prefix,
+                       Handler handler) {
+  m_routes.push_back(
+      {std::move(method), std::move(path_prefix), std::move(handler)});
+  std::stable_sort(m_routes.begin(), m_routes.end(),
+                   [](const RouteEntry& left, const RouteEntry& right) {
+                     return left.prefix.size() > right.prefix.size();
+                   });
+}
+
+Result<void> HttpServer::Start() {
+  Result<UniqueFd> fd = ListenTcp(m_options.address);
+  if (!fd)
+    return tl::make_unexpected(fd.error());
+  m_listener = std::move(*fd);
+  m_address = LocalAddress(m_listener.get());
+  m_daemon = MHD_start_daemon(
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
+      &Callbacks::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, m_listener.get(),
+      MHD_OPTION_NOTIFY_COMPLETED, &Callbacks::OnCompleted, this,
+      MHD_OPTION_CONNECTION_LIMIT, m_options.max_connections,
+      MHD_OPTION_CONNECTION_TIMEOUT, m_options.idle_timeout_seconds,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemory, MHD_OPTION_END);
+  if (!m_daemon) {
+    m_listener.Reset();
+    return MakeError(ErrorKind::kIo, "cannot start the HTTP server",
+                     "raise the limit of open files");
+  }
+  m_epoll_fd =
+      MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+  m_loop.Watch(m_epoll_fd, EPOLLIN, [this](uint32_t) { RunDaemon(); });
+  return {};
+}
+
+void HttpServer::StopAccepting() {
+  if (m_daemon && m_listener.is_open()) {
+    MHD_quiesce_daemon(m_daemon);
+    m_listener.Reset();
+  }
+}
+
+void HttpServer::Stop() {
+  if (!m_daemon)
+    return;
+  StopAccepting();
+  // Suspended connections have to be resumed before the daemon stops.
+  const std::vector<std::shared_ptr<Call>> calls(m_calls.begin(),
+                                                 m_calls.end());
+  for (const std::shared_ptr<Call>& call : calls) {
+    Responder(call).Respond(
+        MakeErrorResponse(503, {ErrorKind::kUnavailable,
+                                "the process stops before the answer is known",
+                                "send the request to another process"}));
+  }
+  MHD_run(m_daemon);
+  m_loop.CancelTimer(m_timer);
+  m_loop.Unwatch(m_epoll_fd);
+  MHD_stop_daemon(m_daemon);
+  m_daemon = nullptr;
+  m_calls.clear();
+}
+
+void HttpServer::Dispatch(const std::shared_ptr<Call>& call) {
+  bool is_path_known = false;
+  for (const RouteEntry& route : m_routes) {
+    if (!call->request.path.starts_with(route.prefix))
+      continue;
+    is_path_known = true;
+    if (route.method != call->request.method)
+      continue;
+    route.handler(std::move(call->request), Responder(call));
+    return;
+  }
+  m_counters.Add("http_unknown_paths");
+  Responder(call).Respond(MakeErrorResponse(
+      is_path_known ? 405 : 404,
+      {ErrorKind::kNotFound, "no such path or method here",
+       "see the interface pages for the paths of each role"}));
+}
+
+void HttpServer::ScheduleRun() {
+  if (m_is_run_scheduled)
+    return;
+  m_is_run_scheduled = true;
+  m_loop.Post([this, alive = std::weak_ptr<int>(m_alive)] {
+    if (alive.expired())
+      return;
+    m_is_run_scheduled = false;
+    RunDaemon();
+  });
+}
+
+void HttpServer::RunDaemon() {
+  if (!m_daemon)
+    return;
+  MHD_run(m_daemon);
+  m_loop.CancelTimer(m_timer);
+  MHD_UNSIGNED_LONG_LONG timeout = 0;
+  if (MHD_get_timeout(m_daemon, &timeout) != MHD_YES)
+    return;
+  if (timeout == 0) {
+    ScheduleRun();
+    return;
+  }
+  m_timer = m_loop.AddTimer(Millis(static_cast<int64_t>(timeout)),
+                            [this] { RunDaemon(); });
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/net/http_server.h
@@ -0,0 +1,103 @@
+#ifndef SOURCE_NET_HTTP_SERVER_H_
+#define SOURCE_NET_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "source/base/counters.h"
+#include "source/base/error.h"
+#include "source/net/event_loop.h"
+#include "source/net/http_message.h"
+#include "source/net/unique_fd.h"
+
+struct MHD_Daemon;
+
+namespace fulmarrock {
+
+/// Limits and address of an HTTP server.
+struct HttpServerOptions {
+  /// "ip:port"; port 0 lets the system choose.
+  std::string address;
+  /// Larger request bodies are answered with 413.
+  size_t max_body_bytes = size_t{3} << 20;
+  unsigned max_connections = 4096;
+  unsigned idle_timeout_seconds = 120;
+};
+
+/// HTTP/1.1 server driven by an event loop; all calls come on its thread.
+class HttpServer {
+ public:
+  class Call;
+
+  /// Answers one request, now or later. Copies share the request; only the
+  /// first answer counts, and an answer to a caller that left is counted.
+  class Responder {
+   public:
+    explicit Responder(std::weak_ptr<Call> call) : m_call(std::move(call)) {}
+    void Respond(HttpResponse response) const;
+
+   private:
+    std::weak_ptr<Call> m_call;
+  };
+
+  using Handler = std::function<void(HttpRequest request, Responder responder)>;
+
+  HttpServer(EventLoop& loop, HttpServerOptions options);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /// Sets the handler of a method and all paths that start with the prefix. The
+  /// longest prefix wins.
+  void Route(std::string method, std::string path_prefix, Handler handler);
+
+  Result<void> Start();
+
+  /// Accepts no more connections; open ones go on.
+  void StopAccepting();
+
+  /// Closes everything. Requests without an answer get 503.
+  void Stop();
+
+  /// Address in use, as "ip:port".
+  const std::string& address() const { return m_address; }
+
+  /// Requests that wait for an answer.
+  size_t open_calls() const { return m_calls.size(); }
+
+  Counters& counters() { return m_counters; }
+
+ private:
+  struct Callbacks;
+  struct RouteEntry {
+    std::string method;
+    std::string prefix;
+    Handler handler;
+  };
+
+  void Dispatch(const std::shared_ptr<Call>& call);
+  void ScheduleRun();
+  void RunDaemon();
+
+  EventLoop& m_loop;
+  const HttpServerOptions m_options;
+  std::vector<RouteEntry> m_routes;
+  MHD_Daemon* m_daemon = nullptr;
+  int m_epoll_fd = -1;
+  UniqueFd m_listener;
+  std::string m_address;
+  std::unordered_set<std::shared_ptr<Call>> m_calls;
+  Counters m_counters;
+  bool m_is_run_scheduled = false;
+  EventLoop::TimerId m_timer = 0;
+  std::shared_ptr<int> m_alive = std::make_shared<int>(0);
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/source/net/json_response.cc
@@ -0,0 +1,57 @@
+#include "source/net/json_response.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace fulmarrock {
+
+int HttpStatus(ErrorKind kind) {
+  switch (kind) {
+    case ErrorKind::kInvalidArgument:
+      return 400;
+    case ErrorKind::kNotFound:
+      return 404;
+    case ErrorKind::kConflict:
+      return 409;
+    case ErrorKind::kNotLeader:
+      return 421;
+    case ErrorKind::kUnavailable:
+      return 503;
+    case ErrorKind::kResourceExhausted:
+      return 429;
+    case ErrorKind::kPermissionDenied:
+      return 403;
+    case ErrorKind::kTimeout:
+      return 504;
+    case ErrorKind::kFailedPrecondition:
+      return 412;
+    case ErrorKind::kCorruption:
+    case ErrorKind::kIo:
+      return 500;
+  }
+  return 500;
+}
+
+HttpResponse MakeErrorResponse(int status, const Error& error) {
+  const nlohmann::json json = {{"error", ToString(error.kind)},
+                               {"message", error.message},
+                               {"remedy", error.remedy}};
+  HttpResponse response;
+  response.status = status;
+  response.body =
+      json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return response;
+}
+
+HttpResponse MakeErrorResponse(const Error& error) {
+  return MakeErrorResponse(HttpStatus(error.kind), error);
+}
+
+HttpResponse MakeJsonResponse(std::string json) {
+  HttpResponse response;
+  response.body = std::move(json);
+  return response;
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/tests/net/http2_transport_test.cc
@@ -0,0 +1,248 @@
+#include "source/net/http2_transport.h"
+
+#include <sys/socket.h>
+
+#include <catch2/catch.hpp>
+
+#include "source/base/seeded_random.h"
+#include "source/message/frame_codec.h"
+#include "source/net/socket_address.h"
+#include "tests/net/net_fixture.h"
+
+namespace fulmarrock::test {
+namespace {
+
+Message Numbered(uint64_t number) {
+  return RequestCancel{{1, number}};
+}
+
+uint64_t NumberOf(const Message& message) {
+  return std::get<RequestCancel>(message).id.sequence;
+}
+
+/// A transport on a loop of its own.
+class Node {
+ public:
+  explicit Node(NodeId self, std::string listen_address = "127.0.0.1:0") {
+    m_options.self = std::move(self);
+    m_options.listen_address = std::move(listen_address);
+    m_thread.RunAndWait([this] {
+      m_transport.emplace(m_thread.loop(), m_options, m_random,
+                          [this](const NodeId& from, const Message& message) {
+                            received.Put({from, message});
+                          });
+      is_started = m_transport->Start().has_value();
+    });
+  }
+  ~Node() {
+    m_thread.RunAndWait([this] { m_transport.reset(); });
+  }
+
+  void Learn(const NodeId& node, const std::string& address) {
+    m_thread.RunAndWait([&] { m_transport->LearnAddress(node, address); });
+  }
+  void Send(const NodeId& to, const Message& message) {
+    m_thread.RunAndWait([&] { m_transport->Send(to, message); });
+  }
+  std::string Address() {
+    std::string address;
+    m_thread.RunAndWait([&] { address = m_transport->address(); });
+    return address;
+  }
+  bool WaitForCounter(const std::string& name, int64_t value) {
+    return WaitFor(m_thread, [this, name, value] {
+      return m_transport->counters().Get(name) >= value;
+    });
+  }
+
+  Mailbox<std::pair<NodeId, Message>> received;
+  bool is_started = false;
+
+ private:
+  LoopThread m_thread;
+  SeededRandom m_random{1};
+  TransportOptions m_options;
+  std::optional<Http2Transport> m_transport;
+};
+
+/// Connects a blocking socket, for peers that break the protocol.
+UniqueFd ConnectRaw(const std::string& address) {
+  UniqueFd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const SocketAddress parsed = ParseAddress(address).value();
+  REQUIRE(::connect(fd.get(),
+                    reinterpret_cast<const sockaddr*>(&parsed.storage),
+                    parsed.size) == 0);
+  return fd;
+}
+
+/// Sends arbitrary bodies over a real HTTP/2 connection.
+class RawSender : private Http2Connection::Listener {
+ public:
+  explicit RawSender(const std::string& address) {
+    m_thread.RunAndWait([&] {
+      m_connection.emplace(m_thread.loop(), Http2Connection::Side::kClient,
+                           std::move(*ConnectTcp(address)),
+                           static_cast<Http2Connection::Listener&>(*this));
+    });
+  }
+  ~RawSender() override {
+    m_thread.RunAndWait([this] { m_connection.reset(); });
+  }
+  void Send(const std::string& body) {
+    m_thread.RunAndWait([&] {
+      m_connection->Send("raw", "", body);
+      m_connection->Flush();
+    });
+  }
+
+  Mailbox<Error> closed;
+
+ private:
+  Result<void> OnBody(const NodeId&,
+                      const std::string&,
+                      const std::string&) override {
+    return {};
+  }
+  void OnAcknowledged(Http2Connection&) override {}
+  void OnClosed(Http2Connection&, const Error& error) override {
+    closed.Put(error);
+  }
+
+  LoopThread m_thread;
+  std::optional<Http2Connection> m_connection;
+};
+
+// Guards against lost, changed or reordered messages on a healthy connection,
+// and against a receiver that cannot answer a sender it has no address of.
+TEST_CASE("messages travel both ways between two loops") {
+  Node a("a");
+  Node b("b");
+  a.Learn("b", b.Address());
+  GrantBatch large;
+  large.grants.resize(1);
+  large.grants[0].payload = std::string(3 << 20, 'x');
+  for (uint64_t i = 0; i < 500; ++i)
+    a.Send("b", Numbered(i));
+  a.Send("b", large);
+  for (uint64_t i = 0; i < 500; ++i) {
+    const auto item = b.received.Take();
+    REQUIRE(item.has_value());
+    REQUIRE(item->first == "a");
+    REQUIRE(NumberOf(item->second) == i);
+  }
+  const auto item = b.received.Take();
+  REQUIRE(item.has_value());
+  CHECK(std::get<GrantBatch>(item->second).grants[0].payload ==
+        large.grants[0].payload);
+  b.Send("a", Numbered(7));
+  CHECK(a.received.Take()->first == "b");
+}
+
+// Guards against delivery to the own process over the network or within Send().
+TEST_CASE("a message to the own process is delivered by the loop") {
+  Node a("a");
+  a.Send("a", Numbered(3));
+  const auto item = a.received.Take();
+  REQUIRE(item.has_value());
+  CHECK(item->first == "a");
+  CHECK(NumberOf(item->second) == 3);
+}
+
+// Guards against a peer that stays unreachable after its process restarted.
+TEST_CASE("the connection is opened again after the peer restarts") {
+  Node a("a");
+  std::string address;
+  {
+    Node b("b");
+    address = b.Address();
+    a.Learn("b", address);
+    a.Send("b", Numbered(1));
+    REQUIRE(b.received.Take().has_value());
+  }
+  REQUIRE(a.WaitForCounter("transport_io_errors", 1));
+  a.Send("b", Numbered(2));
+  Node b("b", address);
+  REQUIRE(b.is_started);
+  const auto item = b.received.Take();
+  REQUIRE(item.has_value());
+  CHECK(NumberOf(item->second) == 2);
+}
+
+// Guards against waiting for ever on a connection that was accepted and then
+// went silent, while a new one would work.
+TEST_CASE("a silent connection is replaced") {
+  Node a("a");
+  UniqueFd listener = std::move(*ListenTcp("127.0.0.1:0"));
+  const std::string address = LocalAddress(listener.get());
+  a.Learn("b", address);
+  a.Send("b", Numbered(1));
+  REQUIRE(a.WaitForCounter("transport_connects", 1));
+  UniqueFd silent;
+  while (!silent.is_open())
+    silent.Reset(::accept(listener.get(), nullptr, nullptr));
+  listener.Reset();
+  Node b("b", address);
+  REQUIRE(b.is_started);
+  REQUIRE(a.WaitForCounter("transport_replaced_connections", 1));
+  a.Send("b", Numbered(2));
+  const auto item = b.received.Take();
+  REQUIRE(item.has_value());
+  CHECK(NumberOf(item->second) == 2);
+}
+
+// Guards against a faulty peer that disturbs the connections of others.
+TEST_CASE("broken input closes only the connection it came from") {
+  Node b("b");
+  Node good("good");
+  good.Learn("b", b.Address());
+  good.Send("b", Numbered(1));
+  REQUIRE(b.received.Take().has_value());
+  SECTION("a foreign protocol") {
+    const UniqueFd fd = ConnectRaw(b.Address());
+    const std::string text = "GET / HTTP/1.0\r\nHost: somewhere\r\n\r\n";
+    REQUIRE(::send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL) > 0);
+    CHECK(b.WaitForCounter("transport_corrupt_connections", 1));
+  }
+  SECTION("a truncated frame") {
+    RawSender sender(b.Address());
+    sender.Send(EncodeFrame(Numbered(2)).substr(0, 25));
+    CHECK(sender.closed.Take().has_value());
+    CHECK(b.WaitForCounter("transport_corrupt_connections", 1));
+  }
+  SECTION("an oversized frame") {
+    RawSender sender(b.Address());
+    sender.Send(std::string(kMaxFrameBytes + 1, 'x'));
+    CHECK(sender.closed.Take().has_value());
+    CHECK(b.WaitForCounter("transport_oversized_frames", 1));
+  }
+  good.Send("b", Numbered(4));
+  const auto item = b.received.Take();
+  REQUIRE(item.has_value());
+  CHECK(NumberOf(item->second) == 4);
+}
+
+// Guards against unbounded queues, and against dropping a message that nothing
+// replaces while a periodic one is there.
+TEST_CASE("a full queue drops the oldest periodic frame first") {
+  Counters counters;
+  PeerQueueLimits limits;
+  limits.max_frames = 3;
+  limits.max_bytes = 100;
+  PeerQueue queue(limits, counters);
+  queue.Push("first", false, Millis(0));
+  queue.Push("periodic", true, Millis(0));
+  queue.Push("third", false, Millis(0));
+  queue.Push("fourth", false, Millis(0));
+  CHECK(counters.Get("transport_dropped_periodic") == 1);
+  queue.Push("fifth", false, Millis(0));
+  CHECK(counters.Get("transport_dropped_other") == 1);
+  CHECK(queue.Pop(Millis(0)) == "third");
+  queue.Push(std::string(99, 'x'), false, Millis(6'000));
+  CHECK(queue.size() == 1);
+  CHECK(queue.bytes() == 99);
+  CHECK_FALSE(queue.Pop(Millis(12'000)));
+  CHECK(counters.Get("transport_dropped_expired") == 1);
+}
+
+}  // namespace
+}  // namespace fulmarrock::test
