Consensus: Add storage and a replicated log for one and three members

Control needs a replicated, durable log.

A fake disk and a cluster of real nodes over fake network and disk drive the tests.

A group of one and a group of three elect a leader and commit.

--- /dev/null
+++ b/source/consensus/consensus_node.h
@@ -0,0 +1,186 @@
+#ifndef SOURCE_CONSENSUS_CONSENSUS_NODE_H_
+#define SOURCE_CONSENSUS_CONSENSUS_NODE_H_
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "source/base/clock.h"
+#include "source/base/counters.h"
+#include "source/base/random_source.h"
+#include "source/consensus/consensus_options.h"
+#include "source/consensus/entry_log.h"
+#include "source/consensus/replicated_log.h"
+#include "source/consensus/replicator.h"
+#include "source/consensus/snapshot_archive.h"
+#include "source/consensus/snapshot_receiver.h"
+#include "source/consensus/state_machine.h"
+#include "source/message/message.h"
+#include "source/message/transport.h"
+#include "source/storage/member_state.h"
+#include "source/storage/storage.h"
+
+namespace fulmarrock {
+
+/// What a ConsensusNode acts through. Everything outlives the node.
+struct ConsensusEnvironment {
+  StateMachine& state_machine;
+  Transport& transport;
+  const Clock& clock;
+  RandomSource& random;
+  Storage& storage;
+};
+
+/// One member of a consensus group.
+///
+/// Founding: the incarnations of the founding members are unknown at first. The
+/// first leader appends nothing until every founder has answered it; then its
+/// first entry records all incarnations. That entry commits only when all
+/// founders have stored it, and nothing else is appended before. So before any
+/// command is accepted, every founder durably knows every incarnation, and a
+/// founder that loses its folder later cannot pass for its predecessor. A
+/// leader without entries gives way to a founder that holds the first entry.
+///
+/// Afterwards answers count only if they carry the incarnation recorded for the
+/// member, and a member that finds another incarnation recorded for itself
+/// neither votes nor campaigns.
+///
+/// After a failed write or sync, and after damage to the stored state, the node
+/// does nothing more; Failure() tells why.
+class ConsensusNode : public ReplicatedLog {
+ public:
+  /// Recovers the member from its storage and restores the state machine.
+  /// Fails with kCorruption on damaged files and kInvalidArgument on options
+  /// that contradict each other.
+  static Result<std::unique_ptr<ConsensusNode>> Open(
+      const ConsensusOptions& options,
+      const ConsensusEnvironment& environment);
+
+  /// Handles the messages of consensus and ignores all others.
+  void OnMessage(const NodeId& from, const Message& message);
+
+  /// Does what is due; called every kTickInterval.
+  void OnTick();
+
+  Result<LogIndex> Propose(std::string command) override;
+  bool IsLeader() const override;
+  NodeId Leader() const override { return m_leader; }
+  Term CurrentTerm() const override { return m_state.state().term; }
+  LogIndex CommitIndex() const override { return m_commit_index; }
+  std::vector<Member> Members() const override;
+  Result<LogIndex> AddMember(const NodeId& node,
+                             Incarnation incarnation) override;
+  Result<LogIndex> RemoveMember(const NodeId& node) override;
+
+  /// Incarnation of this member's data folder.
+  Incarnation incarnation() const { return m_state.state().incarnation; }
+  LogIndex last_index() const { return m_log->last_index(); }
+  LogIndex snapshot_index() const { return m_archive.metadata().index; }
+
+  /// Whether the group knows this node under another incarnation, so that it
+  /// has to be removed and added again.
+  bool IsRefused() const;
+
+  /// Why the node stopped, if it did.
+  const std::optional<Error>& Failure() const { return m_failure; }
+
+  const Counters& counters() const { return m_counters; }
+
+  /// Returns the state as JSON, for a person.
+  std::string DumpState() const;
+
+ private:
+  enum class Role { kFollower, kPreCandidate, kCandidate, kLeader };
+
+  ConsensusNode(const ConsensusOptions& options,
+                const ConsensusEnvironment& environment,
+                MemberStateStore state);
+
+  Result<void> Recover();
+
+  // Elections.
+  void OnVoteRequest(const NodeId& from, const VoteRequest& request);
+  void OnVoteReply(const NodeId& from, const VoteReply& reply);
+  bool WouldVote(const VoteRequest& request) const;
+  void AnswerVote(const NodeId& from,
+                  const VoteRequest& request,
+                  bool is_granted);
+  bool MayCampaign() const;
+  void StartPreVote();
+  void StartElection();
+  void RequestVotes(bool is_pre_vote);
+  bool HasVoteQuorum() const;
+  void BecomeLeader();
+  void StepDown();
+  void FollowLeader(const NodeId& leader);
+  bool HeardFromLeader() const;
+  bool AdoptTerm(Term term, const NodeId& voted_for);
+  void ResetElectionDeadline();
+
+  // Leadership.
+  void OnAppendReply(const NodeId& from, const AppendReply& reply);
+  void OnSnapshotAck(const NodeId& from, const SnapshotAck& ack);
+  void TickLeader();
+  void LeadFounding(const NodeId& from, const AppendReply& reply);
+  void RecordFounders();
+  bool IsFounding() const;
+  Result<void> CheckLeader() const;
+  Result<void> CheckChange() const;
+  LogIndex Enqueue(EntryKind kind, std::string payload);
+  LogIndex EnqueueMembers(std::vector<Member> members);
+  void Flush();
+  void AdvanceCommit();
+  void PromoteLearner();
+
+  // Following.
+  void OnAppendRequest(const NodeId& from, const AppendRequest& request);
+  void OnSnapshotChunk(const NodeId& from, const SnapshotChunk& chunk);
+  bool StoreEntries(const AppendRequest& request);
+  LogIndex MismatchHint(const AppendRequest& request) const;
+  void InstallSnapshot(const SnapshotChunk& chunk);
+
+  // Common.
+  void CommitUpTo(LogIndex index);
+  void TakeSnapshotIfDue();
+  bool FailOn(const Result<void>& result);
+  void RejectIncarnation(const NodeId& from);
+
+  ConsensusOptions m_options;
+  ConsensusEnvironment m_env;
+  MemberStateStore m_state;
+  Counters m_counters;
+  SnapshotArchive m_archive;
+  SnapshotReceiver m_receiver;
+  std::unique_ptr<EntryLog> m_log;
+  std::unique_ptr<Replicator> m_replicator;
+  std::optional<Error> m_failure;
+
+  Role m_role = Role::kFollower;
+  NodeId m_leader;
+  Millis m_last_leader_contact;
+  Millis m_election_deadline;
+  std::set<NodeId> m_votes;
+
+  LogIndex m_commit_index = 0;
+  // Bytes applied since the last snapshot.
+  size_t m_applied_bytes = 0;
+
+  // Leader only.
+  std::vector<LogEntry> m_pending;
+  bool m_has_pending_change = false;
+  size_t m_uncommitted_bytes = 0;
+  LogIndex m_synced_index = 0;
+  // Index of the no-op of this term; zero before it is appended.
+  LogIndex m_no_op_index = 0;
+  // The no-op is applied, and the state machine was told.
+  bool m_is_ready = false;
+  std::map<NodeId, Incarnation> m_founders;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_CONSENSUS_CONSENSUS_NODE_H_
--- /dev/null
+++ b/source/consensus/entry_log.h
@@ -0,0 +1,85 @@
+#ifndef SOURCE_CONSENSUS_ENTRY_LOG_H_
+#define SOURCE_CONSENSUS_ENTRY_LOG_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "source/consensus/membership.h"
+#include "source/storage/log_file.h"
+
+namespace fulmarrock {
+
+/// The replicated log of one member: the entries after the base index in memory
+/// and on disk, and the memberships among them.
+class EntryLog : private LogVisitor {
+ public:
+  /// Recovers the log behind a snapshot. Fails with kCorruption if the two
+  /// leave a gap.
+  static Result<std::unique_ptr<EntryLog>> Open(Storage& storage,
+                                                uint64_t segment_bytes,
+                                                LogIndex snapshot_index,
+                                                Term snapshot_term,
+                                                const Membership& members);
+
+  /// Index and term before the first entry held.
+  LogIndex base_index() const { return m_base_index; }
+  LogIndex last_index() const { return m_base_index + m_entries.size(); }
+  Term last_term() const { return TermAt(last_index()); }
+
+  /// Term of an entry between the base index and the last index.
+  Term TermAt(LogIndex index) const;
+  bool Holds(LogIndex index, Term term) const;
+  const LogEntry& At(LogIndex index) const;
+
+  /// Bytes an entry counts for in limits.
+  static size_t SizeOf(const LogEntry& entry);
+
+  /// Adds an entry at the end; it is durable after Commit().
+  Result<void> Append(LogEntry entry);
+
+  /// Drops the entries after an index. An Append() has to follow.
+  void TruncateAfter(LogIndex index);
+
+  Result<void> Commit();
+
+  /// Voids the log; it continues behind a snapshot. Durable on return.
+  Result<void> Reset(LogIndex index, Term term, const Membership& members);
+
+  /// Drops entries and files that a snapshot covers, except for `trailing`
+  /// entries.
+  Result<void> Compact(LogIndex snapshot_index, uint64_t trailing);
+
+  /// The newest membership, committed or not, and the index it came from.
+  const Membership& members() const { return m_memberships.back().second; }
+  LogIndex membership_index() const { return m_memberships.back().first; }
+
+  /// The membership that the newest one replaced, or null if it is covered by
+  /// the snapshot.
+  const Membership* PreviousMembers() const;
+  const Membership& MembersAt(LogIndex index) const;
+
+ private:
+  EntryLog() = default;
+
+  void OnReset(uint64_t next_index) override;
+  Result<void> OnRecord(uint64_t index, std::string_view record) override;
+  Result<void> AdoptSnapshot(LogIndex index,
+                             Term term,
+                             const Membership& members);
+  Result<void> NoteMembership(LogIndex index, const LogEntry& entry);
+
+  std::unique_ptr<LogFile> m_file;
+  LogIndex m_base_index = 0;
+  Term m_base_term = 0;
+  std::deque<LogEntry> m_entries;
+  // Starts with the membership of the snapshot; indices ascend.
+  std::vector<std::pair<LogIndex, Membership>> m_memberships;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_CONSENSUS_ENTRY_LOG_H_
--- /dev/null
+++ b/source/storage/member_state.cc
@@ -0,0 +1,131 @@
+#include "source/storage/member_state.h"
+
+#include <cstring>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "source/base/checksum.h"
+
+namespace fulmarrock {
+namespace {
+
+constexpr uint64_t kMagic = 0x31424D4D4B524D46;  // "FMRKMMB1", little-endian.
+constexpr std::string_view kName = "member";
+constexpr std::string_view kNewName = "member.new";
+
+/// Start of the file, in little-endian order; the two names follow. The
+/// checksum covers everything behind it.
+struct MemberHeader {
+  uint64_t magic;
+  uint64_t checksum;
+  uint64_t term;
+  uint64_t incarnation;
+  uint64_t folder_identity;
+  uint32_t node_size;
+  uint32_t vote_size;
+};
+static_assert(sizeof(MemberHeader) == 48);
+constexpr size_t kUncheckedBytes = 16;
+
+tl::unexpected<Error> Corrupt(std::string message) {
+  return MakeError(ErrorKind::kCorruption, std::move(message),
+                   "remove this member from the group, empty its data folder "
+                   "and add it again");
+}
+
+/// Zero means "unknown", so it is never drawn.
+Incarnation DrawIncarnation(RandomSource& random) {
+  Incarnation incarnation = 0;
+  while (incarnation == 0)
+    incarnation = random.Next();
+  return incarnation;
+}
+
+}  // namespace
+
+Result<MemberStateStore> MemberStateStore::Open(Storage& storage,
+                                                const NodeId& node,
+                                                RandomSource& random) {
+  MemberStateStore store(storage, node);
+  const Result<uint64_t> identity = storage.FolderIdentity();
+  if (!identity)
+    return tl::make_unexpected(identity.error());
+  store.m_folder_identity = *identity;
+  if (Result<void> result = store.Load(random); !result)
+    return tl::make_unexpected(std::move(result.error()));
+  return store;
+}
+
+Result<void> MemberStateStore::SetTermAndVote(uint64_t term,
+                                              const NodeId& voted_for) {
+  m_state.term = term;
+  m_state.voted_for = voted_for;
+  return Save();
+}
+
+Result<void> MemberStateStore::Load(RandomSource& random) {
+  const Result<std::unique_ptr<StorageFile>> file = m_storage->Open(kName);
+  if (!file) {
+    if (file.error().kind != ErrorKind::kNotFound)
+      return tl::make_unexpected(file.error());
+    // A log or snapshot without this file would be trusted under a new
+    // identity although the folder lost its vote; the incarnation tells.
+    m_state.incarnation = DrawIncarnation(random);
+    return Save();
+  }
+  const Result<std::string> bytes = (*file)->Read(0, UINT64_MAX);
+  if (!bytes)
+    return tl::make_unexpected(bytes.error());
+  return Decode(*bytes, random);
+}
+
+Result<void> MemberStateStore::Decode(std::string_view bytes,
+                                      RandomSource& random) {
+  MemberHeader header;
+  if (bytes.size() < sizeof(header))
+    return Corrupt("the member file is shorter than its header");
+  std::memcpy(&header, bytes.data(), sizeof(header));
+  if (header.magic != kMagic ||
+      header.checksum != Checksum(bytes.substr(kUncheckedBytes)) ||
+      bytes.size() != sizeof(header) + uint64_t{header.node_size} +
+                          uint64_t{header.vote_size})
+    return Corrupt("the member file is damaged");
+  m_state.term = header.term;
+  m_state.incarnation = header.incarnation;
+  const std::string_view node = bytes.substr(sizeof(header), header.node_size);
+  m_state.voted_for = bytes.substr(sizeof(header) + header.node_size);
+  if (node == m_node && header.folder_identity == m_folder_identity)
+    return {};
+  m_state.incarnation = DrawIncarnation(random);
+  return Save();
+}
+
+Result<void> MemberStateStore::Save() {
+  MemberHeader header{};
+  header.magic = kMagic;
+  header.term = m_state.term;
+  header.incarnation = m_state.incarnation;
+  header.folder_identity = m_folder_identity;
+  header.node_size = static_cast<uint32_t>(m_node.size());
+  header.vote_size = static_cast<uint32_t>(m_state.voted_for.size());
+  std::string bytes(reinterpret_cast<const char*>(&header), sizeof(header));
+  bytes += m_node;
+  bytes += m_state.voted_for;
+  header.checksum = Checksum(std::string_view(bytes).substr(kUncheckedBytes));
+  std::memcpy(bytes.data() + sizeof(header.magic), &header.checksum,
+              sizeof(header.checksum));
+  const Result<std::unique_ptr<StorageFile>> file = m_storage->Create(kNewName);
+  if (!file)
+    return tl::make_unexpected(file.error());
+  if (Result<void> result = (*file)->Append(bytes); !result)
+    return result;
+  if (Result<void> result = (*file)->Sync(); !result)
+    return result;
+  if (Result<void> result = m_storage->Rename(kNewName, kName); !result)
+    return result;
+  return m_storage->SyncFolder();
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/storage/snapshot_store.cc
@@ -0,0 +1,110 @@
+#include "source/storage/snapshot_store.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstring>
+#include <memory>
+#include <utility>
+
+#include "source/base/checksum.h"
+
+namespace fulmarrock {
+namespace {
+
+constexpr uint64_t kMagic = 0x31504E534B524D46;  // "FMRKSNP1", little-endian.
+constexpr std::string_view kName = "snapshot";
+constexpr std::string_view kNewName = "snapshot.new";
+
+/// Start of the file, in little-endian order.
+struct SnapshotHeader {
+  uint64_t magic;
+  uint64_t metadata_size;
+  uint64_t state_size;
+  uint64_t metadata_checksum;
+  uint64_t state_checksum;
+};
+static_assert(sizeof(SnapshotHeader) == 40);
+
+tl::unexpected<Error> Corrupt(std::string message) {
+  return MakeError(ErrorKind::kCorruption, std::move(message),
+                   "remove this member from the group, empty its data folder "
+                   "and add it again");
+}
+
+}  // namespace
+
+Result<std::optional<StoredSnapshot>> SnapshotStore::Load() {
+  const Result<std::unique_ptr<StorageFile>> file = m_storage.Open(kName);
+  if (!file) {
+    if (file.error().kind == ErrorKind::kNotFound)
+      return std::nullopt;
+    return tl::make_unexpected(file.error());
+  }
+  const Result<std::string> bytes = (*file)->Read(0, UINT64_MAX);
+  if (!bytes)
+    return tl::make_unexpected(bytes.error());
+  SnapshotHeader header;
+  if (bytes->size() < sizeof(header))
+    return Corrupt("the snapshot is shorter than its header");
+  std::memcpy(&header, bytes->data(), sizeof(header));
+  const uint64_t rest = bytes->size() - sizeof(header);
+  if (header.magic != kMagic || header.metadata_size > rest ||
+      header.state_size != rest - header.metadata_size)
+    return Corrupt("the header of the snapshot is damaged");
+  const auto body = std::string_view(*bytes).substr(sizeof(header));
+  const std::string_view metadata = body.substr(0, header.metadata_size);
+  const std::string_view state = body.substr(header.metadata_size);
+  if (Checksum(metadata) != header.metadata_checksum ||
+      Checksum(state) != header.state_checksum)
+    return Corrupt("the checksum of the snapshot does not match");
+  m_state_offset = sizeof(header) + header.metadata_size;
+  m_state_size = header.state_size;
+  m_state_checksum = header.state_checksum;
+  return StoredSnapshot{std::string(metadata), std::string(state)};
+}
+
+Result<void> SnapshotStore::Save(std::string_view metadata,
+                                 std::string_view state) {
+  if (Result<void> result = WriteNewFile(metadata, state); !result)
+    return result;
+  if (Result<void> result = m_storage.Rename(kNewName, kName); !result)
+    return result;
+  if (Result<void> result = m_storage.SyncFolder(); !result)
+    return result;
+  m_state_offset = sizeof(SnapshotHeader) + metadata.size();
+  m_state_size = state.size();
+  m_state_checksum = Checksum(state);
+  return {};
+}
+
+Result<std::string> SnapshotStore::ReadState(uint64_t offset,
+                                             uint64_t length) const {
+  const Result<std::unique_ptr<StorageFile>> file = m_storage.Open(kName);
+  if (!file)
+    return tl::make_unexpected(file.error());
+  const uint64_t begin = std::min(offset, m_state_size);
+  return (*file)->Read(m_state_offset + begin,
+                       std::min(length, m_state_size - begin));
+}
+
+Result<void> SnapshotStore::WriteNewFile(std::string_view metadata,
+                                         std::string_view state) {
+  const Result<std::unique_ptr<StorageFile>> file = m_storage.Create(kNewName);
+  if (!file)
+    return tl::make_unexpected(file.error());
+  SnapshotHeader header{};
+  header.magic = kMagic;
+  header.metadata_size = metadata.size();
+  header.state_size = state.size();
+  header.metadata_checksum = Checksum(metadata);
+  header.state_checksum = Checksum(state);
+  std::string start(reinterpret_cast<const char*>(&header), sizeof(header));
+  start.append(metadata);
+  if (Result<void> result = (*file)->Append(start); !result)
+    return result;
+  if (Result<void> result = (*file)->Append(state); !result)
+    return result;
+  return (*file)->Sync();
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/tests/support/consensus_cluster.cc
@@ -0,0 +1,194 @@
+#include "tests/support/consensus_cluster.h"
+
+#include <algorithm>
+#include <cstring>
+#include <stdexcept>
+
+namespace fulmarrock::test {
+
+void ConsensusOracle::NoteLeader(const NodeId& node, Term term) {
+  const NodeId& leader = m_leaders.emplace(term, node).first->second;
+  if (leader != node)
+    m_violations.push_back("two leaders in term " + std::to_string(term) +
+                           ": " + leader + " and " + node);
+}
+
+void ConsensusOracle::NoteApply(const NodeId& node,
+                                const Applied& state,
+                                LogIndex index,
+                                const std::string& command) {
+  const std::pair<LogIndex, std::string> item(index, command);
+  if (std::find_if(state.begin(), state.end(), [&](const auto& other) {
+        return other.second == command;
+      }) != state.end()) {
+    m_violations.push_back(node + " applied " + command + " twice");
+  } else if (state.size() < m_sequence.size()) {
+    if (m_sequence[state.size()] != item)
+      m_violations.push_back(node + " applied " + command + " instead of " +
+                             m_sequence[state.size()].second);
+  } else {
+    m_sequence.push_back(item);
+  }
+}
+
+void ConsensusOracle::NoteAcknowledged(const std::string& command) {
+  m_acknowledged.insert(command);
+}
+
+void ConsensusOracle::CheckComplete(const NodeId& node, const Applied& state) {
+  std::set<std::string> commands;
+  for (const auto& [index, command] : state)
+    commands.insert(command);
+  for (const std::string& command : m_acknowledged) {
+    if (!commands.contains(command))
+      m_violations.push_back(node + " lost acknowledged " + command);
+  }
+}
+
+void RecordingStateMachine::Apply(LogIndex index, std::string_view command) {
+  std::string text(command);
+  if (m_fault == Fault::kChangeCommand)
+    text += "'";
+  Record(index, text);
+  if (m_fault == Fault::kApplyTwice)
+    Record(index, text);
+  const auto it = m_proposals.find(index);
+  if (it == m_proposals.end())
+    return;
+  if (it->second == command)
+    m_oracle.NoteAcknowledged(it->second);
+  m_proposals.erase(it);
+}
+
+void RecordingStateMachine::Record(LogIndex index, const std::string& command) {
+  m_oracle.NoteApply(m_node, m_applied, index, command);
+  m_applied.emplace_back(index, command);
+}
+
+std::string RecordingStateMachine::SaveSnapshot() const {
+  std::string bytes;
+  for (const auto& [index, command] : m_applied)
+    bytes += std::to_string(index) + " " + command + "\n";
+  return bytes;
+}
+
+Result<void> RecordingStateMachine::RestoreSnapshot(std::string_view bytes) {
+  m_applied.clear();
+  while (!bytes.empty()) {
+    const size_t space = bytes.find(' ');
+    const size_t end = bytes.find('\n');
+    if (space == std::string_view::npos || end == std::string_view::npos)
+      return MakeError(ErrorKind::kCorruption, "malformed snapshot", "none");
+    m_applied.emplace_back(std::stoull(std::string(bytes.substr(0, space))),
+                           bytes.substr(space + 1, end - space - 1));
+    bytes.remove_prefix(end + 1);
+  }
+  return {};
+}
+
+void RecordingStateMachine::OnLeadershipGained(Term term) {
+  m_oracle.NoteLeader(m_node, term);
+  m_oracle.CheckComplete(m_node, m_applied);
+}
+
+bool RecordingStateMachine::Has(std::string_view command) const {
+  return std::any_of(
+      m_applied.begin(), m_applied.end(),
+      [command](const auto& item) { return item.second == command; });
+}
+
+ConsensusCluster::ConsensusCluster(std::vector<NodeId> founders, uint64_t seed)
+    : m_founders(std::move(founders)),
+      m_random(seed),
+      m_network(m_clock, m_random) {
+  m_network.SetTap(
+      [this](const NodeId& from, const NodeId&, const Message& message) {
+        if (const auto* append = std::get_if<AppendRequest>(&message))
+          m_oracle.NoteLeader(from, append->term);
+      });
+}
+
+void ConsensusCluster::Start(const NodeId& node) {
+  Running running;
+  running.machine = std::make_unique<RecordingStateMachine>(node, m_oracle);
+  ConsensusOptions options = m_options;
+  options.node = node;
+  if (std::find(m_founders.begin(), m_founders.end(), node) != m_founders.end())
+    options.initial_members = m_founders;
+  Result<std::unique_ptr<ConsensusNode>> opened = ConsensusNode::Open(
+      options, {*running.machine, m_network.TransportOf(node), m_clock,
+                m_random, Disk(node)});
+  if (!opened)
+    throw std::runtime_error(opened.error().Describe());
+  running.node = std::move(*opened);
+  running.tick_phase =
+      m_random.Below(static_cast<uint64_t>(kTickInterval.count()));
+  ConsensusNode* raw = running.node.get();
+  m_network.SetHandler(node, [raw](const NodeId& from, const Message& message) {
+    raw->OnMessage(from, message);
+  });
+  m_nodes.insert_or_assign(node, std::move(running));
+}
+
+void ConsensusCluster::StartAll() {
+  for (const NodeId& node : m_founders) {
+    if (!IsUp(node))
+      Start(node);
+  }
+}
+
+void ConsensusCluster::Crash(const NodeId& node, CrashKind kind) {
+  m_network.SetHandler(node, {});
+  m_nodes.erase(node);
+  Disk(node).Crash(kind, m_random);
+}
+
+void ConsensusCluster::Run(Millis duration) {
+  for (Millis passed; passed < duration; passed += Millis(1)) {
+    m_clock.Advance(Millis(1));
+    m_network.DeliverDue();
+    const auto now = static_cast<uint64_t>(m_clock.Now().count());
+    const auto interval = static_cast<uint64_t>(kTickInterval.count());
+    for (auto& [node, running] : m_nodes) {
+      if (now % interval == running.tick_phase)
+        running.node->OnTick();
+    }
+  }
+}
+
+NodeId ConsensusCluster::Leader() const {
+  for (const auto& [node, running] : m_nodes) {
+    if (running.node->IsLeader())
+      return node;
+  }
+  return {};
+}
+
+bool ConsensusCluster::Propose(const NodeId& node, const std::string& command) {
+  const Result<LogIndex> index = Node(node).Propose(command);
+  if (index)
+    Machine(node).NoteProposal(*index, command);
+  return index.has_value();
+}
+
+bool ConsensusCluster::Commit(const std::string& command) {
+  if (!RunUntil([this] { return !Leader().empty(); }) ||
+      !Propose(Leader(), command))
+    return false;
+  return RunUntil([&] {
+    return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto& item) {
+      return item.second.machine->Has(command);
+    });
+  });
+}
+
+bool ConsensusCluster::HasConverged() const {
+  return std::all_of(m_nodes.begin(), m_nodes.end(), [this](const auto& item) {
+    const ConsensusNode& node = *item.second.node;
+    return node.CommitIndex() == node.last_index() &&
+           item.second.machine->applied() ==
+               m_nodes.begin()->second.machine->applied();
+  });
+}
+
+}  // namespace fulmarrock::test
--- /dev/null
+++ b/tests/support/fake_storage.h
@@ -0,0 +1,89 @@
+#ifndef TESTS_SUPPORT_FAKE_STORAGE_H_
+#define TESTS_SUPPORT_FAKE_STORAGE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "source/base/random_source.h"
+#include "source/storage/storage.h"
+
+namespace fulmarrock::test {
+
+/// What is left of unsynced writes after a crash.
+enum class CrashKind {
+  kKeepAll,       ///< Only the process crashed.
+  kLoseUnsynced,  ///< The machine crashed: only synced bytes are left.
+  kTearWrites,    ///< As before, but part of the unsynced bytes is left, and
+                  ///< some of them are damaged.
+};
+
+/// Folder in memory that fails on request. It outlives the node that uses it.
+class FakeStorage : public Storage {
+ public:
+  FakeStorage();
+
+  Result<std::unique_ptr<StorageFile>> Create(std::string_view name) override;
+  Result<std::unique_ptr<StorageFile>> Open(std::string_view name) override;
+  Result<std::vector<std::string>> List() const override;
+  Result<void> Rename(std::string_view from, std::string_view to) override;
+  Result<void> Remove(std::string_view name) override;
+  Result<void> SyncFolder() override;
+  Result<uint64_t> FolderIdentity() const override { return m_identity; }
+
+  /// Applies a crash. Files opened before must not be used any more.
+  void Crash(CrashKind kind, RandomSource& random);
+
+  /// Loses everything, as on a new disk.
+  void Wipe();
+
+  /// Replaces the files by copies of another folder's files.
+  void CopyFrom(const FakeStorage& other);
+
+  /// The sync after `count` more good ones fails. Its bytes are lost at the
+  /// next machine crash even if a later sync reports success.
+  void FailSyncAfter(uint64_t count) { m_syncs_until_failure = count + 1; }
+
+  /// Limits the bytes of all files; a write that exceeds it is cut short.
+  void SetCapacity(uint64_t bytes) { m_capacity = bytes; }
+
+  /// Reports syncs as done without making anything durable. Breaks the contract
+  /// of Storage, to prove that a check notices.
+  void SetIgnoreSyncs(bool is_ignoring) { m_is_ignoring_syncs = is_ignoring; }
+
+  /// Inverts the bits of one byte, also in the durable copy.
+  void CorruptByte(const std::string& name, uint64_t offset);
+
+  uint64_t SizeOf(const std::string& name) const;
+  uint64_t sync_count() const { return m_sync_count; }
+
+ private:
+  class File;
+  struct Content {
+    std::string bytes;
+    std::string durable;
+    // A sync of the file failed, so that its unsynced bytes never get durable.
+    bool is_sync_broken = false;
+    bool is_truncated = false;
+  };
+  using Folder = std::map<std::string, std::shared_ptr<Content>, std::less<>>;
+
+  Result<void> Append(Content& content, std::string_view bytes);
+  Result<void> Sync(Content& content);
+  bool TakesSyncFailure();
+
+  Folder m_files;
+  Folder m_durable_files;
+  uint64_t m_identity = 0;
+  uint64_t m_capacity = UINT64_MAX;
+  uint64_t m_syncs_until_failure = 0;
+  uint64_t m_sync_count = 0;
+  bool m_is_ignoring_syncs = false;
+};
+
+}  // namespace fulmarrock::test
+
+#endif  // TESTS_SUPPORT_FAKE_STORAGE_H_
