Control: Add replicated state, control role and task runner

Control needs one deterministic state that every member derives from the log, and agents need leases that keep a task from running in two places.

The state is split into tables for lists, operations, jobs, workers and claims; one log entry per tick carries all commands. The leader measures leases from the receipt of renewals, sends grants after commit only, and asks workers for a report when it starts. The task runner suspends at expiry and resumes when a renewal shows that the same epochs are current.

GrantBatch names the renewal it builds on: a copy that is delayed beyond the lease term would otherwise start a task that was granted elsewhere since.

--- /dev/null
+++ b/source/agent/task_runner.h
@@ -0,0 +1,146 @@
+#ifndef SOURCE_AGENT_TASK_RUNNER_H_
+#define SOURCE_AGENT_TASK_RUNNER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "source/agent/agent_part.h"
+#include "source/agent/worker_client.h"
+#include "source/base/clock.h"
+#include "source/base/counters.h"
+#include "source/base/random_source.h"
+#include "source/message/transport.h"
+
+namespace fulmarrock {
+
+/// What a task runner is told at its start.
+struct TaskRunnerSettings {
+  /// Members of the control group.
+  std::vector<NodeId> control_members;
+  std::string data_centre;
+  std::string rack;
+  /// Address at which the agent accepts messages, as "ip:port".
+  std::string address;
+  Resources capacity;
+  Incarnation incarnation = 0;
+};
+
+/// Runs tasks on the worker beside the agent under leases from control. A new
+/// incarnation starts with none: the worker ends the tasks of an agent that it
+/// lost within the lease term.
+class TaskRunner : public AgentPart, public WorkerListener {
+ public:
+  /// All references outlive the runner.
+  TaskRunner(TaskRunnerSettings settings,
+             Clock& clock,
+             Transport& transport,
+             RandomSource& random,
+             WorkerClient& worker,
+             Counters& counters);
+
+  // AgentPart:
+  void OnMessage(const NodeId& from, const Message& message) override;
+  void OnTick() override;
+  void BeginShutdown() override;
+  bool IsDrained() const override;
+  std::string Name() const override { return "tasks"; }
+  std::string DumpState() const override;
+
+  // WorkerListener:
+  void OnTaskEvent(TaskId task,
+                   TaskEventKind kind,
+                   const std::string& detail,
+                   Millis runtime) override;
+  void OnUsage(const std::vector<TaskUsage>& usage) override;
+
+ private:
+  enum class LeaseState {
+    kRunning,
+    kCheckpointing,
+    kStopping,
+    kEnded,  ///< Waits until control has acknowledged the final event.
+  };
+  struct Lease {
+    Epoch epoch = 0;
+    TaskKind kind = TaskKind::kBatch;
+    Resources resources;
+    bool can_checkpoint = false;
+    LeaseState state = LeaseState::kRunning;
+    bool is_suspended = false;
+    Millis suspended_at;
+    /// Number of the final event, once it ended.
+    uint64_t final_sequence = 0;
+  };
+  struct PastLease {
+    Epoch epoch = 0;
+    Millis ended_at;
+  };
+
+  void OnAnnounceAck(const NodeId& from, const WorkerAnnounceAck& ack);
+  void OnRenewReply(const NodeId& from, const LeaseRenewReply& reply);
+  void OnGrants(const GrantBatch& batch);
+  void OnGrant(const TaskGrant& grant);
+  void OnStop(const TaskStop& stop);
+  void OnEventsAck(const TaskEventsAck& ack);
+
+  /// Adds a lease, and takes it out of the digest again.
+  Lease& AddLease(TaskId task, Epoch epoch);
+  void EndLease(TaskId task,
+                TaskEventKind kind,
+                const std::string& detail,
+                Millis runtime);
+  void StopLease(TaskId task, Lease& lease, bool with_checkpoint);
+  /// Whether a grant or stop names an epoch that was dealt with before.
+  bool IsPast(TaskId task, Epoch epoch) const;
+  uint64_t AddEvent(TaskEvent event);
+  bool HasLease() const { return m_clock.Now() < m_lease_until; }
+
+  void SuspendExpired();
+  void ResumeAll();
+  void ForgetPastLeases();
+  void SendAnnounce();
+  void SendRenew();
+  void SendReport();
+  void SendEvents();
+  void SendUsage();
+  /// Sends to the leader, or to all control members while it is not known.
+  void SendToControl(const Message& message);
+
+  const TaskRunnerSettings m_settings;
+  Clock& m_clock;
+  Transport& m_transport;
+  RandomSource& m_random;
+  WorkerClient& m_worker;
+  Counters& m_counters;
+
+  std::map<TaskId, Lease> m_leases;
+  uint64_t m_digest = 0;
+  Resources m_used;
+  // Epochs that ended here; late copies of their grants are refused.
+  std::unordered_map<TaskId, PastLease> m_past;
+  Millis m_lease_until;
+
+  std::deque<TaskEvent> m_events;
+  uint64_t m_first_sequence = 1;
+  bool m_has_unsent_events = false;
+  std::vector<TaskUsage> m_usage;
+
+  NodeId m_leader;
+  bool m_is_announced = false;
+  bool m_is_stopping = false;
+  bool m_is_renewal_open = false;
+  Millis m_next_announce;
+  Millis m_next_renew;
+  Millis m_next_events;
+  Millis m_next_usage;
+  Millis m_next_forget;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_AGENT_TASK_RUNNER_H_
--- /dev/null
+++ b/source/control/commands.h
@@ -0,0 +1,208 @@
+#ifndef SOURCE_CONTROL_COMMANDS_H_
+#define SOURCE_CONTROL_COMMANDS_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "source/base/error.h"
+#include "source/base/ids.h"
+#include "source/base/millis.h"
+#include "source/message/configuration.h"
+#include "source/message/request_messages.h"
+#include "source/message/task_messages.h"
+
+namespace fulmarrock {
+
+/// Position of a worker in the worker table.
+using WorkerIndex = uint32_t;
+inline constexpr WorkerIndex kNoWorker = UINT32_MAX;
+
+/// Replaces the two lists. `token` names the caller that waits at the proposer.
+struct ApplyCommand {
+  uint64_t token = 0;
+  std::string operation_id;
+  uint64_t fingerprint = 0;
+  uint64_t base_version = 0;
+  Configuration configuration;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.token, self.operation_id, self.fingerprint, self.base_version,
+            self.configuration);
+  }
+};
+
+/// Adds a job.
+struct SubmitCommand {
+  uint64_t token = 0;
+  std::string operation_id;
+  uint64_t fingerprint = 0;
+  JobSpec spec;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.token, self.operation_id, self.fingerprint, self.spec);
+  }
+};
+
+/// Cancels jobs.
+struct CancelCommand {
+  uint64_t token = 0;
+  std::vector<JobId> jobs;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.token, self.jobs);
+  }
+};
+
+/// Adds a worker or updates it.
+struct AnnounceCommand {
+  NodeId node;
+  WorkerAnnounce announce;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.node, self.announce);
+  }
+};
+
+/// Sets the operator's wish to drain a worker.
+struct DrainCommand {
+  uint64_t token = 0;
+  NodeId node;
+  bool is_draining = false;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.token, self.node, self.is_draining);
+  }
+};
+
+/// Forgets a worker that was silent for long and runs nothing.
+struct ForgetWorkerCommand {
+  WorkerIndex worker = kNoWorker;
+  Incarnation incarnation = 0;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.worker, self.incarnation);
+  }
+};
+
+/// Events of one agent, in order.
+struct EventsCommand {
+  WorkerIndex worker = kNoWorker;
+  TaskEvents events;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.worker, self.events);
+  }
+};
+
+/// Starts the eviction of a running task.
+struct EvictCommand {
+  HeldLease lease;
+  std::string reason;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.lease, self.reason);
+  }
+};
+
+/// Records why a pending task cannot be placed.
+struct UnplaceableCommand {
+  TaskId task;
+  std::string reason;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.task, self.reason);
+  }
+};
+
+/// Grants a pending task to a worker under the next epoch.
+struct GrantCommand {
+  TaskId task;
+  Epoch epoch = 0;
+  WorkerIndex worker = kNoWorker;
+  Incarnation incarnation = 0;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.task, self.epoch, self.worker, self.incarnation);
+  }
+};
+
+/// Claims a keyed non-idempotent request for the entry that asks.
+struct ClaimCommand {
+  NodeId entry;
+  ClaimRequest request;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.entry, self.request);
+  }
+};
+
+/// Records how a claimed request ended.
+struct ClaimOutcomeCommand {
+  NodeId entry;
+  ClaimOutcome outcome;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.entry, self.outcome);
+  }
+};
+
+/// Content of one log entry. The lists are applied in the order of the fields.
+struct CommandBatch {
+  /// Replicated time: it advances with the leader's clock and never goes
+  /// backwards, also over a change of leader.
+  Millis time;
+  std::vector<ApplyCommand> configurations;
+  std::vector<SubmitCommand> submissions;
+  std::vector<CancelCommand> cancellations;
+  std::vector<AnnounceCommand> announcements;
+  std::vector<DrainCommand> drains;
+  std::vector<EventsCommand> events;
+  /// Leases that surely expired; their tasks are pending again.
+  std::vector<HeldLease> expired;
+  std::vector<ForgetWorkerCommand> forgotten_workers;
+  std::vector<EvictCommand> evictions;
+  std::vector<UnplaceableCommand> unplaceable;
+  std::vector<GrantCommand> grants;
+  std::vector<ClaimCommand> claims;
+  std::vector<ClaimOutcomeCommand> claim_outcomes;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.time, self.configurations, self.submissions,
+            self.cancellations, self.announcements, self.drains, self.events,
+            self.expired, self.forgotten_workers, self.evictions,
+            self.unplaceable, self.grants, self.claims, self.claim_outcomes);
+  }
+
+  /// Tells whether no list has an item.
+  bool IsEmpty() const;
+};
+
+/// Encodes a batch as the payload of a log entry.
+std::string EncodeBatch(const CommandBatch& batch);
+
+/// Decodes a payload; fails with kCorruption.
+Result<CommandBatch> DecodeBatch(std::string_view payload);
+
+/// Return hashes of what an operation asks for, to detect the reuse of an
+/// operation id for something else.
+uint64_t Fingerprint(uint64_t base_version, const Configuration& configuration);
+uint64_t Fingerprint(const JobSpec& spec);
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_CONTROL_COMMANDS_H_
--- /dev/null
+++ b/source/control/control_role.cc
@@ -0,0 +1,365 @@
+#include "source/control/control_role.h"
+
+#include <utility>
+#include <variant>
+
+namespace fulmarrock {
+namespace {
+
+/// Asks 5,300 workers for reports within about 300 ms.
+constexpr WorkerIndex kSolicitedPerTick = 200;
+constexpr size_t kMaxNameBytes = 256;
+
+bool IsValidAnnounce(const NodeId& from, const WorkerAnnounce& announce) {
+  return announce.incarnation != 0 && !from.empty() &&
+         from.size() <= kMaxNameBytes &&
+         announce.data_centre.size() <= kMaxNameBytes &&
+         announce.rack.size() <= kMaxNameBytes &&
+         announce.address.size() <= kMaxNameBytes &&
+         ValidateRequest(announce.capacity).has_value();
+}
+
+size_t EventBytes(const TaskEvents& events) {
+  size_t bytes = 0;
+  for (const TaskEvent& event : events.events)
+    bytes += 32 + event.detail.size();
+  return bytes;
+}
+
+}  // namespace
+
+ControlRole::ControlRole(NodeId self,
+                         Clock& clock,
+                         Transport& transport,
+                         RandomSource& random,
+                         Scheduler& scheduler)
+    : m_self(std::move(self)),
+      m_clock(clock),
+      m_transport(transport),
+      m_random(random),
+      m_scheduler(scheduler),
+      m_distributor(m_state.lists(), transport),
+      m_claims(transport, m_counters),
+      m_dispatcher(m_state, scheduler, m_leases, transport, m_counters) {}
+
+void ControlRole::OnMessage(const NodeId& from, const Message& message) {
+  if (const auto* poll = std::get_if<ConfigPoll>(&message)) {
+    m_distributor.OnPoll(from, poll->held_version, m_clock.Now());
+    return;
+  }
+  if (const auto* ack = std::get_if<ConfigAck>(&message)) {
+    m_distributor.OnAck(from, ack->version, m_clock.Now());
+    return;
+  }
+  // Followers stay silent: agents and entries learn the leader by its answers.
+  if (!IsLeading())
+    return;
+  if (const auto* announce = std::get_if<WorkerAnnounce>(&message)) {
+    OnAnnounce(from, *announce);
+  } else if (const auto* renew = std::get_if<LeaseRenew>(&message)) {
+    OnRenew(from, *renew);
+  } else if (const auto* report = std::get_if<LeaseReport>(&message)) {
+    OnReport(from, *report);
+  } else if (const auto* events = std::get_if<TaskEvents>(&message)) {
+    OnEvents(from, *events);
+  } else if (const auto* usage = std::get_if<UsageReport>(&message)) {
+    OnUsage(from, *usage);
+  } else if (const auto* claim = std::get_if<ClaimRequest>(&message)) {
+    m_claims.OnClaim(from, *claim, m_next);
+    // A caller waits: the entry is written at once unless one is under way,
+    // with which later claims share the next one.
+    if (m_last_proposed <= m_last_applied)
+      Flush();
+  } else if (const auto* outcome = std::get_if<ClaimOutcome>(&message)) {
+    m_claims.OnOutcome(from, *outcome, m_next);
+  }
+}
+
+void ControlRole::OnTick() {
+  const Millis now = m_clock.Now();
+  m_distributor.OnTick(now);
+  if (!IsLeading())
+    return;
+  CompleteMemberWaiters();
+  SolicitReports();
+  for (const LeaseEvent& event : m_leases.Scan(now))
+    OnLeaseEvent(event);
+  // Commands that the log refused wait in m_next; more would only pile up.
+  if (m_next_bytes < kMaxEntryBytes)
+    m_dispatcher.Propose(m_next, now);
+  Flush();
+  m_dispatcher.SendDue(now);
+}
+
+void ControlRole::BeginShutdown() {
+  m_is_stopping = true;
+}
+
+bool ControlRole::IsDrained() const {
+  return m_is_stopping && m_waiters.empty() && m_member_waiters.empty();
+}
+
+void ControlRole::Apply(LogIndex index, std::string_view command) {
+  m_last_applied = index;
+  const ApplyEffects effects = m_state.Apply(command);
+  if (effects.is_malformed)
+    m_counters.Add("control_malformed_commands");
+  if (effects.has_new_configuration)
+    m_distributor.OnNewVersion();
+  if (m_is_leader)
+    HandleEffects(effects);
+}
+
+std::string ControlRole::SaveSnapshot() const {
+  return m_state.Save();
+}
+
+Result<void> ControlRole::RestoreSnapshot(std::string_view bytes) {
+  Result<void> result = m_state.Restore(bytes);
+  if (result)
+    m_distributor.OnNewVersion();
+  return result;
+}
+
+void ControlRole::OnLeadershipGained(Term) {
+  const Millis now = m_clock.Now();
+  m_is_leader = true;
+  m_counters.Add("control_leaderships");
+  m_time_offset = m_state.time() - now;
+  m_next = CommandBatch();
+  m_next_bytes = 0;
+  m_last_proposed = 0;
+  m_next_solicited = 0;
+  m_proposed_events.clear();
+  m_leases.Reset(m_state.workers().index_count(), now);
+  m_dispatcher.Rebuild(m_time_offset, now);
+}
+
+void ControlRole::OnLeadershipLost() {
+  m_is_leader = false;
+  m_next = CommandBatch();
+  m_next_bytes = 0;
+  m_dispatcher.Clear();
+  FailWaiters({ErrorKind::kUnavailable,
+               "the leader changed before the change was known to be committed",
+               "repeat it with the same operation id"});
+}
+
+bool ControlRole::IsLeading() const {
+  return m_is_leader && m_log->IsLeader();
+}
+
+void ControlRole::OnAnnounce(const NodeId& from,
+                             const WorkerAnnounce& announce) {
+  if (!IsValidAnnounce(from, announce)) {
+    m_counters.Add("control_announcements_malformed");
+    return;
+  }
+  m_transport.LearnAddress(from, announce.address);
+  if (m_next_bytes >= kMaxEntryBytes)
+    return;
+  m_next.announcements.push_back({from, announce});
+  m_next_bytes += 128;
+}
+
+void ControlRole::OnRenew(const NodeId& from, const LeaseRenew& renew) {
+  const WorkerIndex index =
+      FindRenewing(from, renew.incarnation, renew.sent_at);
+  if (index == kNoWorker)
+    return;
+  m_counters.Add("control_renewals");
+  m_leases.OnRenewal(index, renew.sent_at, m_clock.Now());
+  const WorkerRecord& worker = *m_state.workers().Get(index);
+  LeaseRenewReply reply;
+  reply.incarnation = renew.incarnation;
+  reply.sent_at = renew.sent_at;
+  reply.is_renewed =
+      renew.digest == worker.digest && renew.lease_count == worker.tasks.size();
+  reply.needs_report = !reply.is_renewed;
+  if (reply.needs_report)
+    m_counters.Add("control_digest_mismatches");
+  SendRenewReply(from, std::move(reply));
+}
+
+void ControlRole::OnReport(const NodeId& from, const LeaseReport& report) {
+  const WorkerIndex index =
+      FindRenewing(from, report.incarnation, report.sent_at);
+  if (index == kNoWorker)
+    return;
+  const Millis now = m_clock.Now();
+  m_leases.OnRenewal(index, report.sent_at, now);
+  LeaseRenewReply reply;
+  reply.incarnation = report.incarnation;
+  reply.sent_at = report.sent_at;
+  reply.is_renewed = true;
+  reply.revoked = m_dispatcher.Compare(index, report.leases, now);
+  SendRenewReply(from, std::move(reply));
+  m_dispatcher.SendDue(now);
+}
+
+WorkerIndex ControlRole::FindRenewing(const NodeId& from,
+                                      Incarnation incarnation,
+                                      Millis sent_at) {
+  const WorkerIndex index = m_state.workers().Find(from);
+  const WorkerRecord* worker = m_state.workers().Get(index);
+  if (!worker || worker->incarnation != incarnation) {
+    // Makes the agent announce itself.
+    LeaseRenewReply reply;
+    reply.incarnation = incarnation;
+    reply.sent_at = sent_at;
+    SendRenewReply(from, std::move(reply));
+    return kNoWorker;
+  }
+  if (!m_leases.IsExpiring(index))
+    return index;
+  // The release of these leases is proposed, so nothing may extend them; the
+  // agent asks again.
+  if (!worker->tasks.empty())
+    return kNoWorker;
+  m_leases.OnReleased(index);
+  return index;
+}
+
+void ControlRole::SendRenewReply(const NodeId& to, LeaseRenewReply reply) {
+  reply.term = kLeaseTerm;
+  m_transport.Send(to, reply);
+}
+
+void ControlRole::OnEvents(const NodeId& from, const TaskEvents& events) {
+  const WorkerIndex index = m_state.workers().Find(from);
+  const WorkerRecord* worker = m_state.workers().Get(index);
+  if (!worker || worker->incarnation != events.incarnation ||
+      events.events.empty() || events.first_sequence == 0) {
+    m_counters.Add("control_events_ignored");
+    return;
+  }
+  const uint64_t last = events.first_sequence + events.events.size() - 1;
+  if (last <= worker->last_event_sequence) {
+    SendEventsAck(index);
+    return;
+  }
+  // Resent while their first copy is being committed.
+  uint64_t& proposed = m_proposed_events[index];
+  if (last <= proposed || m_next_bytes >= kMaxEntryBytes)
+    return;
+  const size_t bytes = EventBytes(events);
+  if (bytes > kMaxEntryBytes) {
+    m_counters.Add("control_events_too_large");
+    return;
+  }
+  proposed = last;
+  m_next.events.push_back({index, events});
+  m_next_bytes += bytes;
+}
+
+void ControlRole::SendEventsAck(WorkerIndex index) {
+  const WorkerRecord* worker = m_state.workers().Get(index);
+  if (worker) {
+    m_transport.Send(worker->node, TaskEventsAck{worker->incarnation,
+                                                 worker->last_event_sequence});
+  }
+}
+
+void ControlRole::OnUsage(const NodeId& from, const UsageReport& report) {
+  const WorkerRecord* worker =
+      m_state.workers().Get(m_state.workers().Find(from));
+  if (worker && worker->incarnation == report.incarnation)
+    m_scheduler.OnUsage(from, report, m_clock.Now());
+}
+
+void ControlRole::OnLeaseEvent(const LeaseEvent& event) {
+  const WorkerRecord* worker = m_state.workers().Get(event.worker);
+  if (!worker)
+    return;
+  switch (event.kind) {
+    case LeaseEvent::Kind::kExpired:
+      ProposeExpired(worker->tasks);
+      return;
+    case LeaseEvent::Kind::kOrphansExpired:
+      ProposeExpired(worker->orphans);
+      return;
+    case LeaseEvent::Kind::kSilent:
+    case LeaseEvent::Kind::kHeard:
+      m_dispatcher.UpdateWorker(event.worker);
+      return;
+    case LeaseEvent::Kind::kGone:
+      if (!worker->HasTasks())
+        m_next.forgotten_workers.push_back({event.worker, worker->incarnation});
+      return;
+  }
+}
+
+void ControlRole::ProposeExpired(const std::vector<TaskId>& tasks) {
+  for (const TaskId task : tasks) {
+    m_counters.Add("control_leases_expired");
+    m_next.expired.push_back({task, m_state.jobs().FindTask(task)->epoch});
+  }
+}
+
+void ControlRole::SolicitReports() {
+  const WorkerTable& workers = m_state.workers();
+  for (WorkerIndex i = 0; i < kSolicitedPerTick; ++i) {
+    if (m_next_solicited >= workers.index_count())
+      return;
+    const WorkerIndex index = m_next_solicited++;
+    const WorkerRecord* worker = workers.Get(index);
+    if (!worker || m_leases.LastSentAt(index))
+      continue;
+    LeaseRenewReply reply;
+    reply.incarnation = worker->incarnation;
+    reply.needs_report = true;
+    SendRenewReply(worker->node, std::move(reply));
+  }
+}
+
+void ControlRole::Flush() {
+  if (m_next.IsEmpty())
+    return;
+  m_next.time = m_clock.Now() + m_time_offset;
+  // A group of one may apply the command before Propose() returns, and callers
+  // that are told may add to the next one.
+  CommandBatch batch = std::exchange(m_next, {});
+  const size_t bytes = std::exchange(m_next_bytes, 0);
+  const Result<LogIndex> index = m_log->Propose(EncodeBatch(batch));
+  if (!index && index.error().kind == ErrorKind::kResourceExhausted) {
+    m_counters.Add("control_proposals_delayed");
+    m_next = std::move(batch);
+    m_next_bytes = bytes;
+    return;
+  }
+  if (!index) {
+    m_counters.Add("control_proposals_refused");
+    FailWaiters(index.error());
+    return;
+  }
+  m_counters.Add("control_proposals");
+  m_last_proposed = *index;
+}
+
+void ControlRole::HandleEffects(const ApplyEffects& effects) {
+  const Millis now = m_clock.Now();
+  m_dispatcher.OnEffects(effects, now);
+  for (const WorkerEffect& effect : effects.workers) {
+    const WorkerRecord* worker = m_state.workers().Get(effect.worker);
+    if (worker && effect.kind == WorkerEffect::Kind::kRestarted)
+      m_proposed_events.erase(effect.worker);
+    const bool is_announced = effect.kind == WorkerEffect::Kind::kRestarted ||
+                              effect.kind == WorkerEffect::Kind::kAnnounced;
+    if (worker && is_announced)
+      m_transport.Send(effect.node, WorkerAnnounceAck{worker->incarnation});
+  }
+  for (const WorkerIndex worker : effects.acknowledged)
+    SendEventsAck(worker);
+  m_claims.OnEffects(effects);
+  for (const OperationEffect& effect : effects.operations) {
+    const auto it = m_waiters.find(effect.token);
+    if (it == m_waiters.end())
+      continue;
+    const Waiter waiter = std::move(it->second);
+    m_waiters.erase(it);
+    waiter(effect.result);
+  }
+  m_dispatcher.SendDue(now);
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/control/control_role.h
@@ -0,0 +1,148 @@
+#ifndef SOURCE_CONTROL_CONTROL_ROLE_H_
+#define SOURCE_CONTROL_CONTROL_ROLE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "source/base/clock.h"
+#include "source/base/random_source.h"
+#include "source/consensus/replicated_log.h"
+#include "source/consensus/state_machine.h"
+#include "source/control/claim_service.h"
+#include "source/control/config_distributor.h"
+#include "source/control/control_state.h"
+#include "source/control/lease_monitor.h"
+#include "source/control/operator_service.h"
+#include "source/control/task_dispatcher.h"
+#include "source/message/role.h"
+
+namespace fulmarrock {
+
+/// An entry grows up to about this size before the next one is started, which
+/// keeps it below the frame limit.
+inline constexpr size_t kMaxEntryBytes = size_t{1} << 20;
+
+/// One member of a control group: applies the group's log to the replicated
+/// state, and while it leads, turns messages, operators' calls and scheduling
+/// decisions into log entries, one per tick.
+class ControlRole : public Role, public StateMachine, public OperatorService {
+ public:
+  ControlRole(NodeId self,
+              Clock& clock,
+              Transport& transport,
+              RandomSource& random,
+              Scheduler& scheduler);
+
+  /// Sets the log that this role proposes to; must come before any other call.
+  void AttachLog(ReplicatedLog& log) { m_log = &log; }
+
+  // Role:
+  void OnMessage(const NodeId& from, const Message& message) override;
+  void OnTick() override;
+  void BeginShutdown() override;
+  bool IsDrained() const override;
+  std::string DumpState() const override;
+  const Counters& counters() const override { return m_counters; }
+
+  // StateMachine:
+  void Apply(LogIndex index, std::string_view command) override;
+  std::string SaveSnapshot() const override;
+  Result<void> RestoreSnapshot(std::string_view bytes) override;
+  void OnLeadershipGained(Term term) override;
+  void OnLeadershipLost() override;
+
+  // OperatorService:
+  void ApplyConfiguration(ApplyRequest request, Done<uint64_t> done) override;
+  void SubmitJob(SubmitRequest request, Done<JobId> done) override;
+  void CancelJobs(std::vector<JobId> jobs, Done<uint64_t> done) override;
+  void SetWorkerDraining(NodeId worker,
+                         bool is_draining,
+                         Done<bool> done) override;
+  void AddMember(NodeId node,
+                 Incarnation incarnation,
+                 Done<bool> done) override;
+  void RemoveMember(NodeId node, Done<bool> done) override;
+  ConfigCopy GetConfiguration() const override;
+  Result<JobView> ShowJob(JobId job) const override;
+  std::vector<JobView> ListJobs(std::string_view customer) const override;
+  ClusterStatus GetStatus() const override;
+
+  const ControlState& state() const { return m_state; }
+
+ private:
+  using Waiter = std::function<void(const Result<uint64_t>&)>;
+  struct MemberWaiter {
+    LogIndex index = 0;
+    Done<bool> done;
+  };
+
+  bool IsLeading() const;
+  Error NotLeader() const;
+  /// Whether a change may be taken; otherwise calls `done` with the reason.
+  template <typename T>
+  bool IsAccepting(const Done<T>& done);
+  /// Whether an operation id is usable; otherwise calls `done`.
+  template <typename T>
+  bool IsValidOperationId(const std::string& id, const Done<T>& done);
+  uint64_t AddWaiter(Waiter waiter);
+  void FailWaiters(const Error& error);
+  void CompleteMemberWaiters();
+
+  void OnAnnounce(const NodeId& from, const WorkerAnnounce& announce);
+  void OnRenew(const NodeId& from, const LeaseRenew& renew);
+  void OnReport(const NodeId& from, const LeaseReport& report);
+  void OnEvents(const NodeId& from, const TaskEvents& events);
+  void OnUsage(const NodeId& from, const UsageReport& report);
+  /// Returns the sender's worker if its incarnation is current and its leases
+  /// may be renewed; answers otherwise.
+  WorkerIndex FindRenewing(const NodeId& from,
+                           Incarnation incarnation,
+                           Millis sent_at);
+  void SendRenewReply(const NodeId& to, LeaseRenewReply reply);
+  void SendEventsAck(WorkerIndex worker);
+
+  void OnLeaseEvent(const LeaseEvent& event);
+  void ProposeExpired(const std::vector<TaskId>& tasks);
+  /// Asks all workers for a report, a part of them per tick, so that a new
+  /// leader may send them grants without waiting for their next renewal.
+  void SolicitReports();
+  void Flush();
+  void HandleEffects(const ApplyEffects& effects);
+
+  const NodeId m_self;
+  Clock& m_clock;
+  Transport& m_transport;
+  RandomSource& m_random;
+  Scheduler& m_scheduler;
+  ReplicatedLog* m_log = nullptr;
+  Counters m_counters;
+
+  ControlState m_state;
+  LeaseMonitor m_leases;
+  ConfigDistributor m_distributor;
+  ClaimService m_claims;
+  TaskDispatcher m_dispatcher;
+
+  bool m_is_leader = false;
+  bool m_is_stopping = false;
+  // What the next log entry will carry.
+  CommandBatch m_next;
+  size_t m_next_bytes = 0;
+  // Leads from the local clock to replicated time.
+  Millis m_time_offset;
+  LogIndex m_last_proposed = 0;
+  LogIndex m_last_applied = 0;
+  WorkerIndex m_next_solicited = 0;
+  // Numbers of the newest events proposed per worker, to skip resent ones.
+  std::unordered_map<WorkerIndex, uint64_t> m_proposed_events;
+  std::unordered_map<uint64_t, Waiter> m_waiters;
+  std::vector<MemberWaiter> m_member_waiters;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_CONTROL_CONTROL_ROLE_H_
--- /dev/null
+++ b/source/control/task_dispatcher.cc
@@ -0,0 +1,333 @@
+#include "source/control/task_dispatcher.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace fulmarrock {
+namespace {
+
+constexpr size_t kPlacementsPerTick = 512;
+constexpr Millis kResendInterval{1'000};
+constexpr Millis kEvictionInterval{100};
+constexpr Millis kUnplaceableInterval{1'000};
+/// Keeps a worker whose agent refuses grants from being chosen at once again.
+constexpr Millis kRejectionPause{1'000};
+/// Keeps a worker that fails everything from failing more jobs.
+constexpr Millis kQuarantinePause{30'000};
+/// Well below the frame limit, as one grant may carry 64 KiB.
+constexpr size_t kMaxMessageBytes = size_t{1} << 20;
+
+}  // namespace
+
+TaskDispatcher::TaskDispatcher(const ControlState& state,
+                               Scheduler& scheduler,
+                               LeaseMonitor& leases,
+                               Transport& transport,
+                               Counters& counters)
+    : m_state(state),
+      m_scheduler(scheduler),
+      m_leases(leases),
+      m_transport(transport),
+      m_counters(counters) {}
+
+void TaskDispatcher::Rebuild(Millis time_offset, Millis now) {
+  Clear();
+  m_time_offset = time_offset;
+  m_scheduler.SetConfiguration(m_state.lists().configuration());
+  const WorkerTable& workers = m_state.workers();
+  for (WorkerIndex i = 0; i < workers.index_count(); ++i) {
+    const WorkerRecord* worker = workers.Get(i);
+    if (!worker)
+      continue;
+    m_transport.LearnAddress(worker->node, worker->address);
+    if (worker->IsQuarantined())
+      m_leases.Pause(i, now + kQuarantinePause);
+    UpdateWorker(i);
+  }
+  for (const auto& [id, job] : m_state.jobs().jobs()) {
+    if (job.OpenCount() == 0)
+      continue;
+    for (uint32_t i = 0; i < job.tasks.size(); ++i) {
+      const TaskRecord& task = job.tasks[i];
+      if (task.state == TaskState::kPending) {
+        Enqueue({id, i});
+      } else if (task.IsActive()) {
+        const Millis since = task.since - m_time_offset;
+        m_scheduler.AddRunning({{id, i}, &job.spec, since},
+                               workers.Get(task.worker)->node, since);
+        m_fresh.push_back(
+            {now, {{id, i}, task.epoch}, task.state != TaskState::kRunning});
+      }
+    }
+  }
+}
+
+void TaskDispatcher::Clear() {
+  m_scheduler.Clear();
+  m_resends.clear();
+  m_fresh.clear();
+  m_unplaceable.clear();
+  m_should_retry_unplaceable = false;
+}
+
+void TaskDispatcher::OnEffects(const ApplyEffects& effects, Millis now) {
+  if (effects.has_new_configuration) {
+    m_scheduler.SetConfiguration(m_state.lists().configuration());
+    m_should_retry_unplaceable = true;
+  }
+  for (const WorkerEffect& effect : effects.workers) {
+    if (effect.kind != WorkerEffect::Kind::kForgotten)
+      OnWorkerEffect(effect, now);
+  }
+  for (const TaskEffect& effect : effects.tasks)
+    OnTaskEffect(effect, now);
+  for (const WorkerEffect& effect : effects.workers) {
+    if (effect.kind == WorkerEffect::Kind::kForgotten)
+      m_scheduler.RemoveWorker(effect.node);
+  }
+}
+
+void TaskDispatcher::UpdateWorker(WorkerIndex worker) {
+  const WorkerRecord* record = m_state.workers().Get(worker);
+  if (!record)
+    return;
+  WorkerInfo info;
+  info.node = record->node;
+  info.data_centre = record->data_centre;
+  info.rack = record->rack;
+  info.capacity = record->capacity;
+  info.accepts_tasks = !record->IsDraining() && m_leases.IsAlive(worker);
+  m_scheduler.UpsertWorker(info);
+}
+
+void TaskDispatcher::Propose(CommandBatch& batch, Millis now) {
+  RetryUnplaceable(now);
+  for (const Placement& placement :
+       m_scheduler.Schedule(kPlacementsPerTick, now)) {
+    const TaskRecord* task = m_state.jobs().FindTask(placement.task);
+    const WorkerIndex index = m_state.workers().Find(placement.worker);
+    const WorkerRecord* worker = m_state.workers().Get(index);
+    if (!task || !worker) {
+      m_scheduler.Release(placement.task, AttemptResult::kStopped, Millis(0));
+      continue;
+    }
+    batch.grants.push_back(
+        {placement.task, Epoch{task->epoch} + 1, index, worker->incarnation});
+  }
+  ProposeUnplaceable(batch);
+  if (now < m_next_evictions)
+    return;
+  m_next_evictions = now + kEvictionInterval;
+  for (Eviction& eviction : m_scheduler.ChooseEvictions(now)) {
+    const TaskRecord* task = m_state.jobs().FindTask(eviction.task);
+    if (task) {
+      batch.evictions.push_back(
+          {{eviction.task, task->epoch}, std::move(eviction.reason)});
+    }
+  }
+}
+
+std::vector<HeldLease> TaskDispatcher::Compare(
+    WorkerIndex worker,
+    const std::vector<HeldLease>& held,
+    Millis now) {
+  const JobTable& jobs = m_state.jobs();
+  std::vector<HeldLease> revoked;
+  std::unordered_set<TaskId> current;
+  for (const HeldLease& lease : held) {
+    const TaskRecord* task = jobs.FindTask(lease.task);
+    const bool is_current = task && task->IsActive() && !task->is_orphan &&
+                            task->worker == worker &&
+                            task->epoch == lease.epoch;
+    if (is_current)
+      current.insert(lease.task);
+    else
+      revoked.push_back(lease);
+  }
+  for (const TaskId task : m_state.workers().Get(worker)->tasks) {
+    if (current.contains(task))
+      continue;
+    const TaskRecord* record = jobs.FindTask(task);
+    m_fresh.push_back(
+        {now, {task, record->epoch}, record->state != TaskState::kRunning});
+  }
+  return revoked;
+}
+
+void TaskDispatcher::SendDue(Millis now) {
+  std::map<WorkerIndex, Outgoing> outgoing;
+  std::vector<Resend> due = std::exchange(m_fresh, {});
+  while (!m_resends.empty() && m_resends.front().due <= now) {
+    due.push_back(m_resends.front());
+    m_resends.pop_front();
+  }
+  for (Resend& resend : due) {
+    if (!IsNeeded(resend))
+      continue;
+    if (Add(resend, outgoing)) {
+      resend.due = now + kResendInterval;
+      m_resends.push_back(resend);
+    } else {
+      // The agent has not renewed with this leader yet; try at the next tick.
+      m_fresh.push_back(resend);
+    }
+  }
+  for (auto& [worker, messages] : outgoing)
+    Flush(worker, messages);
+}
+
+void TaskDispatcher::OnWorkerEffect(const WorkerEffect& effect, Millis now) {
+  const WorkerRecord* worker = m_state.workers().Get(effect.worker);
+  if (!worker)
+    return;
+  if (effect.kind == WorkerEffect::Kind::kChanged) {
+    if (worker->IsQuarantined())
+      m_counters.Add("control_workers_quarantined");
+  } else {
+    m_transport.LearnAddress(worker->node, worker->address);
+    m_leases.OnAnnounced(effect.worker,
+                         effect.kind == WorkerEffect::Kind::kRestarted, now);
+    m_should_retry_unplaceable = true;
+  }
+  UpdateWorker(effect.worker);
+}
+
+void TaskDispatcher::OnTaskEffect(const TaskEffect& effect, Millis now) {
+  switch (effect.kind) {
+    case TaskEffect::Kind::kQueued:
+      Enqueue(effect.task);
+      return;
+    case TaskEffect::Kind::kUnqueued:
+      m_scheduler.RemovePending(effect.task);
+      return;
+    case TaskEffect::Kind::kGranted:
+      m_counters.Add("control_grants");
+      m_fresh.push_back({now, {effect.task, effect.epoch}, false});
+      return;
+    case TaskEffect::Kind::kGrantRefused: {
+      m_counters.Add("control_grants_refused");
+      m_scheduler.Release(effect.task, AttemptResult::kStopped, Millis(0));
+      const TaskRecord* task = m_state.jobs().FindTask(effect.task);
+      if (task && task->state == TaskState::kPending)
+        Enqueue(effect.task);
+      return;
+    }
+    case TaskEffect::Kind::kStopRequested:
+      m_fresh.push_back({now, {effect.task, effect.epoch}, true});
+      return;
+    case TaskEffect::Kind::kReleased:
+      m_scheduler.Release(effect.task, effect.result, effect.runtime);
+      PauseAfter(effect, now);
+      return;
+  }
+}
+
+void TaskDispatcher::PauseAfter(const TaskEffect& effect, Millis now) {
+  const WorkerRecord* worker = m_state.workers().Get(effect.worker);
+  if (!worker)
+    return;
+  if (effect.is_rejected) {
+    m_counters.Add("control_grants_rejected_by_agent");
+    m_leases.Pause(effect.worker, now + kRejectionPause);
+  } else if (effect.result == AttemptResult::kFailed &&
+             worker->IsQuarantined()) {
+    m_leases.Pause(effect.worker, now + kQuarantinePause);
+  } else {
+    return;
+  }
+  UpdateWorker(effect.worker);
+}
+
+void TaskDispatcher::Enqueue(TaskId id) {
+  const JobRecord* job = m_state.jobs().Find(id.job);
+  const TaskRecord* task = m_state.jobs().FindTask(id);
+  // Later effects of the same command may have ended the task.
+  if (!task || task->state != TaskState::kPending)
+    return;
+  m_scheduler.Enqueue({id, &job->spec, task->since - m_time_offset});
+}
+
+void TaskDispatcher::RetryUnplaceable(Millis now) {
+  if (!m_should_retry_unplaceable || now < m_next_retry)
+    return;
+  m_should_retry_unplaceable = false;
+  m_next_retry = now + kUnplaceableInterval;
+  for (const TaskId task : std::exchange(m_unplaceable, {}))
+    Enqueue(task);
+}
+
+void TaskDispatcher::ProposeUnplaceable(CommandBatch& batch) {
+  JobId last_job = 0;
+  for (UnplaceableTask& item : m_scheduler.TakeUnplaceable()) {
+    m_unplaceable.push_back(item.task);
+    const JobRecord* job = m_state.jobs().Find(item.task.job);
+    // One entry per job: all of its tasks have the same specification.
+    if (!job || job->id == last_job || job->reason == item.reason)
+      continue;
+    last_job = job->id;
+    batch.unplaceable.push_back({item.task, std::move(item.reason)});
+  }
+}
+
+bool TaskDispatcher::IsNeeded(const Resend& resend) const {
+  const TaskRecord* task = m_state.jobs().FindTask(resend.lease.task);
+  if (!task || task->epoch != resend.lease.epoch || task->is_orphan)
+    return false;
+  if (resend.is_stop) {
+    return task->state == TaskState::kEvicting ||
+           task->state == TaskState::kCancelling;
+  }
+  return task->state == TaskState::kRunning && !task->is_started;
+}
+
+bool TaskDispatcher::Add(const Resend& resend,
+                         std::map<WorkerIndex, Outgoing>& outgoing) {
+  const TaskId id = resend.lease.task;
+  const JobRecord& job = *m_state.jobs().Find(id.job);
+  const TaskRecord& task = job.tasks[id.index];
+  const std::optional<Millis> sent_at = m_leases.LastSentAt(task.worker);
+  if (!sent_at)
+    return false;
+  Outgoing& messages = outgoing[task.worker];
+  messages.grants.lease_sent_at = *sent_at;
+  if (resend.is_stop) {
+    const StopMode mode = task.state == TaskState::kCancelling
+                              ? StopMode::kCancel
+                              : StopMode::kCheckpoint;
+    messages.stops.stops.push_back({id, task.epoch, mode});
+    return true;
+  }
+  TaskGrant& grant = messages.grants.grants.emplace_back();
+  grant.task = id;
+  grant.epoch = task.epoch;
+  grant.kind = job.spec.kind;
+  grant.resources = job.spec.resources;
+  grant.customer = job.spec.customer;
+  grant.workload =
+      job.spec.workload.empty() ? job.spec.name : job.spec.workload;
+  grant.payload = job.spec.payload;
+  grant.can_checkpoint = job.spec.can_checkpoint;
+  grant.checkpoint = job.Checkpoint(id.index);
+  messages.bytes += grant.payload.size() + grant.checkpoint.size();
+  if (messages.bytes > kMaxMessageBytes)
+    Flush(task.worker, messages);
+  return true;
+}
+
+void TaskDispatcher::Flush(WorkerIndex worker, Outgoing& messages) {
+  const WorkerRecord* record = m_state.workers().Get(worker);
+  if (record && !messages.grants.grants.empty()) {
+    messages.grants.incarnation = record->incarnation;
+    m_transport.Send(record->node, messages.grants);
+  }
+  if (record && !messages.stops.stops.empty()) {
+    messages.stops.incarnation = record->incarnation;
+    m_transport.Send(record->node, messages.stops);
+  }
+  messages.grants.grants.clear();
+  messages.stops.stops.clear();
+  messages.bytes = 0;
+}
+
+}  // namespace fulmarrock
--- a/source/message/task_messages.h
+++ b/source/message/task_messages.h
@@ -163,10 +163,14 @@
 struct GrantBatch {
   Incarnation incarnation = 0;
   std::vector<TaskGrant> grants;
+  /// `sent_at` of the newest renewal that control received from the agent. The
+  /// grants may start only before this instant plus the lease term: a copy that
+  /// arrives later may name tasks that were granted elsewhere since.
+  Millis lease_sent_at;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
-    visitor(self.incarnation, self.grants);
+    visitor(self.incarnation, self.grants, self.lease_sent_at);
   }
 };
 
--- /dev/null
+++ b/tests/control/job_flow_test.cc
@@ -0,0 +1,41 @@
+#include <catch2/catch.hpp>
+
+#include "tests/support/control_cluster.h"
+
+namespace fulmarrock::test {
+namespace {
+
+// Guards against a break anywhere in the path from submission to completion.
+TEST_CASE("a job is granted, runs and completes once") {
+  ControlCluster cluster(3, 2, 1);
+  cluster.ApplyDefaultLists();
+  const Result<JobId> job = cluster.Submit(MakeSpec(6), "submit");
+  REQUIRE(job);
+  const JobRecord& record = *cluster.state().jobs().Find(*job);
+  REQUIRE(cluster.RunUntil([&] {
+    for (const TaskRecord& task : record.tasks) {
+      if (!task.is_started)
+        return false;
+    }
+    return true;
+  }));
+  for (uint32_t i = 0; i < 6; ++i) {
+    const auto holders = cluster.Executing({*job, i});
+    REQUIRE(holders.size() == 1);
+    CHECK(cluster.agents[holders[0]]->worker.Finish({*job, i},
+                                                    TaskEventKind::kCompleted));
+  }
+  REQUIRE(cluster.RunUntil(
+      [&] { return record.Count(TaskState::kCompleted) == 6; }));
+  cluster.Run(Millis(5'000));
+  for (const auto& member : cluster.members) {
+    const JobRecord* seen = member->role->state().jobs().Find(*job);
+    REQUIRE(seen);
+    CHECK(seen->Count(TaskState::kCompleted) == 6);
+    CHECK(member->role->state().Save() == cluster.state().Save());
+  }
+  CHECK(cluster.leader().scheduler.running_count() == 0);
+}
+
+}  // namespace
+}  // namespace fulmarrock::test
--- /dev/null
+++ b/tests/support/control_cluster.h
@@ -0,0 +1,96 @@
+#ifndef TESTS_SUPPORT_CONTROL_CLUSTER_H_
+#define TESTS_SUPPORT_CONTROL_CLUSTER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "source/agent/task_runner.h"
+#include "source/base/seeded_random.h"
+#include "source/control/control_role.h"
+#include "tests/support/fake_log.h"
+#include "tests/support/fake_network.h"
+#include "tests/support/fake_worker.h"
+#include "tests/support/first_fit_scheduler.h"
+#include "tests/support/manual_clock.h"
+
+namespace fulmarrock::test {
+
+/// Control members and agents with workers, joined by a fake network and a fake
+/// log on a manual clock.
+class ControlCluster {
+ public:
+  struct ControlNode {
+    NodeId node;
+    FirstFitScheduler scheduler;
+    std::unique_ptr<ControlRole> role;
+  };
+  struct AgentNode {
+    explicit AgentNode(const Clock& clock) : worker(clock) {}
+    NodeId node;
+    Incarnation incarnation = 0;
+    Counters counters;
+    FakeWorker worker;
+    std::unique_ptr<TaskRunner> runner;
+  };
+
+  /// Makes the transport of an agent; lets a test break what an agent sends.
+  using WorkerWrapper = std::function<WorkerClient&(FakeWorker&)>;
+
+  ControlCluster(size_t members, size_t agents, uint64_t seed);
+  ~ControlCluster();
+
+  /// Advances the time in steps of one tick, and calls `check` after each.
+  void Run(Millis duration, const std::function<void()>& check = {});
+
+  /// Runs until the condition holds; false when it does not within the limit.
+  bool RunUntil(const std::function<bool()>& condition,
+                Millis limit = Millis(60'000));
+
+  void CrashMember(size_t index);
+  void StartMember(size_t index);
+  /// The worker ends the tasks of a crashed agent within `grace`.
+  void CrashAgent(size_t index, Millis grace = Millis(400));
+  void StartAgent(size_t index);
+
+  ControlNode& leader();
+  /// The replicated state at the leader.
+  const ControlState& state() { return leader().role->state(); }
+
+  /// Apply lists with one plan "gold" and the customer "acme".
+  void ApplyDefaultLists();
+
+  /// Submits at the leader and waits for the result.
+  Result<JobId> Submit(const JobSpec& spec, const std::string& operation_id);
+  Result<uint64_t> Apply(const ApplyRequest& request);
+  Result<uint64_t> Cancel(const std::vector<JobId>& jobs);
+
+  /// Agents whose workers hold the task, and those that execute it right now.
+  std::vector<size_t> Holders(TaskId task) const;
+  std::vector<size_t> Executing(TaskId task) const;
+
+  ManualClock clock;
+  SeededRandom random;
+  FakeNetwork network;
+  FakeLog log;
+  std::vector<std::unique_ptr<ControlNode>> members;
+  std::vector<std::unique_ptr<AgentNode>> agents;
+  Resources worker_capacity{4000, 4096, 0};
+  /// Set before StartAgent() to run an agent against another worker client.
+  WorkerWrapper wrap_worker;
+
+ private:
+  template <typename T>
+  Result<T> Await(std::optional<Result<T>>& result);
+  void Step();
+};
+
+/// A valid one-task batch job of "acme" that needs a quarter of a worker.
+JobSpec MakeSpec(uint32_t task_count = 1);
+
+}  // namespace fulmarrock::test
+
+#endif  // TESTS_SUPPORT_CONTROL_CLUSTER_H_
--- /dev/null
+++ b/tests/support/fake_log.h
@@ -0,0 +1,84 @@
+#ifndef TESTS_SUPPORT_FAKE_LOG_H_
+#define TESTS_SUPPORT_FAKE_LOG_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "source/base/clock.h"
+#include "source/consensus/replicated_log.h"
+#include "source/consensus/state_machine.h"
+
+namespace fulmarrock::test {
+
+/// One log in memory for all members of a group. The test chooses the leader;
+/// commands commit after a delay, and a change of leader keeps or loses those
+/// that are not committed.
+class FakeLog {
+ public:
+  explicit FakeLog(const Clock& clock);
+  ~FakeLog();
+
+  /// Adds a member that is up, or connects a restarted one to its new state
+  /// machine, which then receives the snapshot and the later commands.
+  ReplicatedLog& Connect(const NodeId& node, StateMachine& machine);
+
+  /// Takes a member down; a leader loses its leadership without being told.
+  void Disconnect(const NodeId& node);
+
+  /// Makes a member leader. The old one answers as leader for `overlap`, but
+  /// nothing it proposes meanwhile commits. The first `surviving` uncommitted
+  /// commands commit, the others are lost.
+  void ChangeLeader(const NodeId& node,
+                    Millis overlap = Millis(0),
+                    size_t surviving = SIZE_MAX);
+
+  /// Time from a proposal to its commit, and to followers' learning of it.
+  void SetDelay(Millis commit, Millis follower = Millis(0));
+
+  /// Refuses proposals with kResourceExhausted.
+  void SetFull(bool is_full) { m_is_full = is_full; }
+
+  /// Replaces the committed log by a snapshot of the leader.
+  void Compact();
+
+  /// Commits and applies what is due.
+  void Advance();
+
+  /// Due time of the next commit, or Millis::Max().
+  Millis NextDue() const;
+
+  const NodeId& leader() const { return m_leader; }
+  size_t uncommitted_count() const { return m_entries.size() - m_committed; }
+  uint64_t committed_bytes() const { return m_committed_bytes; }
+
+ private:
+  class Port;
+  struct Entry {
+    std::string payload;
+    Millis due;
+  };
+
+  Result<LogIndex> Propose(Port& port, std::string command);
+  void ApplyUntil(Port& port, LogIndex index);
+  Port* LeaderPort() const;
+
+  const Clock& m_clock;
+  std::map<NodeId, std::unique_ptr<Port>> m_ports;
+  NodeId m_leader;
+  Term m_term = 0;
+  // Entries after the snapshot.
+  std::vector<Entry> m_entries;
+  size_t m_committed = 0;
+  std::string m_snapshot;
+  LogIndex m_snapshot_index = 0;
+  uint64_t m_committed_bytes = 0;
+  Millis m_commit_delay{2};
+  Millis m_follower_delay{0};
+  bool m_is_full = false;
+};
+
+}  // namespace fulmarrock::test
+
+#endif  // TESTS_SUPPORT_FAKE_LOG_H_
