Placement: Add the fair scheduler with its policies

Control needs a Scheduler that places tasks without scanning workers. FairScheduler combines a queue of size groups, indexes over free and evictable capacity, claims for large and urgent tasks, and small policies, each with a baseline beside it. Unit tests cover sharing, quotas, urgent order, starvation, unplaceable tasks and a change of leader.

--- /dev/null
+++ b/source/placement/claim_table.h
@@ -0,0 +1,90 @@
+#ifndef SOURCE_PLACEMENT_CLAIM_TABLE_H_
+#define SOURCE_PLACEMENT_CLAIM_TABLE_H_
+
+#include <array>
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "source/placement/cluster.h"
+#include "source/placement/pending_queue.h"
+
+namespace fulmarrock {
+
+/// A waiting task and what is held for it: a part of its customer's quota and,
+/// if a worker is named, capacity of that worker.
+struct Claim {
+  TaskId task;
+  std::optional<WorkerIndex> worker;
+  CustomerIndex customer = 0;
+  TaskClass task_class = TaskClass::kBatch;
+  Resources need;
+  Resources declared;
+  Millis made;
+};
+
+/// Claims of waiting tasks on workers and quotas. What becomes free there is
+/// not given to others, so that a large task collects enough and an urgent one
+/// gets what was evicted for it.
+class ClaimTable {
+ public:
+  /// Both references outlive the table.
+  ClaimTable(Cluster& cluster, PendingQueue& queue)
+      : m_cluster(cluster), m_queue(queue) {}
+
+  /// Adds a claim, or replaces the one the task has.
+  void Add(const PendingEntry& entry,
+           std::optional<WorkerIndex> worker,
+           Millis now);
+
+  /// Removes the claim of a task, if any.
+  void Remove(TaskId task);
+
+  /// Returns the claim of a task, or null.
+  const Claim* Find(TaskId task) const;
+  bool HasWorker(TaskId task) const;
+
+  /// Whether quota is held for a task of this customer and class without a
+  /// worker.
+  bool HasQuotaClaim(CustomerIndex customer, TaskClass task_class) const {
+    return m_quota_claims.contains({customer, task_class});
+  }
+
+  /// Number of claims on workers.
+  size_t CountOfClass(TaskClass task_class) const {
+    return m_counts[static_cast<size_t>(task_class)];
+  }
+
+  /// Whether the customer's quota has room for a task beside what runs and what
+  /// is held for others of its class and the classes before it.
+  bool FitsQuota(const PendingEntry& entry) const;
+
+  /// Removes the claims on a worker.
+  void RemoveOnWorker(WorkerIndex worker);
+
+  /// Removes claims that can no longer be met, and claims of urgent tasks whose
+  /// evictions take too long, so that they try another worker.
+  void RemoveStale(Millis now);
+
+  /// Returns the claims whose worker has room now, urgent ones first.
+  std::vector<Claim> Ready() const;
+
+  /// Returns all claims, ordered by task.
+  std::vector<Claim> All() const;
+
+ private:
+  bool IsHopeless(const Claim& claim) const;
+
+  Cluster& m_cluster;
+  PendingQueue& m_queue;
+  std::map<TaskId, Claim> m_claims;
+  std::set<std::pair<CustomerIndex, TaskClass>> m_quota_claims;
+  std::array<size_t, kTaskClassCount> m_counts{};
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_PLACEMENT_CLAIM_TABLE_H_
--- /dev/null
+++ b/source/placement/cluster.cc
@@ -0,0 +1,303 @@
+#include "source/placement/cluster.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarrock {
+namespace {
+
+// Separates the key spaces of data centres and racks.
+constexpr uint64_t kRackBit = uint64_t{1} << 32;
+
+uint64_t Mix(uint64_t spread_key, uint64_t place) {
+  uint64_t mixed = spread_key * 0x9E3779B97F4A7C15u ^ (place + 1);
+  mixed = (mixed ^ (mixed >> 29)) * 0xBF58476D1CE4E5B9u;
+  return mixed ^ (mixed >> 32);
+}
+
+void AddCount(std::unordered_map<uint64_t, uint32_t>& counts,
+              uint64_t key,
+              int change) {
+  const auto it = counts.try_emplace(key, 0).first;
+  it->second += static_cast<uint32_t>(change);
+  if (it->second == 0)
+    counts.erase(it);
+}
+
+uint32_t GetCount(const std::unordered_map<uint64_t, uint32_t>& counts,
+                  uint64_t key) {
+  const auto it = counts.find(key);
+  return it == counts.end() ? 0 : it->second;
+}
+
+Resources FromKey(const std::tuple<int64_t, int64_t, int64_t>& key) {
+  return {std::get<0>(key), std::get<1>(key), std::get<2>(key)};
+}
+
+}  // namespace
+
+Resources Worker::Usable() const {
+  const Resources free = Free();
+  const Resources unclaimed = free + evicting - claimed;
+  return {std::min(free.cpu_millicores, unclaimed.cpu_millicores),
+          std::min(free.memory_mib, unclaimed.memory_mib),
+          std::min(free.accelerators, unclaimed.accelerators)};
+}
+
+WorkerIndex Cluster::FindOrAdd(const NodeId& node) {
+  const auto it = m_by_node.find(node);
+  if (it != m_by_node.end())
+    return it->second;
+  WorkerIndex index = 0;
+  if (m_unused.empty()) {
+    index = static_cast<WorkerIndex>(m_workers.size());
+    m_workers.emplace_back();
+  } else {
+    index = m_unused.back();
+    m_unused.pop_back();
+    m_workers[index] = Worker();
+  }
+  m_workers[index].info.node = node;
+  m_workers[index].info.accepts_tasks = false;
+  m_by_node.emplace(node, index);
+  return index;
+}
+
+std::optional<WorkerIndex> Cluster::Find(const NodeId& node) const {
+  const auto it = m_by_node.find(node);
+  if (it == m_by_node.end())
+    return std::nullopt;
+  return it->second;
+}
+
+WorkerIndex Cluster::Upsert(const WorkerInfo& info) {
+  const WorkerIndex index = FindOrAdd(info.node);
+  for (const RunningTask* task : m_workers[index].tasks)
+    CountSpread(*task, -1);
+  if (m_workers[index].is_known) {
+    CountCapacity(m_workers[index].info.capacity, -1);
+    m_free[m_workers[index].data_centre].Remove(index);
+  }
+  Worker& worker = m_workers[index];
+  worker.info = info;
+  worker.data_centre = Intern(m_data_centres, info.data_centre);
+  worker.rack = Intern(m_racks, info.data_centre + "/" + info.rack);
+  worker.is_known = true;
+  if (worker.data_centre >= m_free.size())
+    m_free.resize(worker.data_centre + 1);
+  CountCapacity(info.capacity, 1);
+  for (const RunningTask* task : worker.tasks)
+    CountSpread(*task, 1);
+  UpdateIndexes(index);
+  NotifyGrowth(index);
+  return index;
+}
+
+void Cluster::Remove(const NodeId& node) {
+  const auto it = m_by_node.find(node);
+  if (it == m_by_node.end())
+    return;
+  const WorkerIndex index = it->second;
+  Worker& worker = m_workers[index];
+  if (worker.is_known)
+    CountCapacity(worker.info.capacity, -1);
+  worker.is_known = false;
+  UpdateIndexes(index);
+  // A worker with tasks stays until the last one is released.
+  if (!worker.tasks.empty())
+    return;
+  m_by_node.erase(it);
+  m_unused.push_back(index);
+}
+
+void Cluster::AddTask(const RunningTask& task) {
+  const auto [it, is_new] = m_tasks.emplace(task.task, task);
+  if (!is_new)
+    return;
+  RunningTask& running = it->second;
+  Worker& worker = m_workers[running.worker];
+  running.offset = worker.tasks.size();
+  worker.tasks.push_back(&running);
+  worker.used += running.charged;
+  if (running.IsEvictable()) {
+    worker.evictable += running.charged;
+    ++m_batch_tasks;
+  }
+  if (running.spec->kind != TaskKind::kBatch)
+    CountSensitive(worker, running.workload, 1);
+  CountSpread(running, 1);
+  UpdateIndexes(running.worker);
+}
+
+void Cluster::RemoveTask(TaskId task) {
+  const auto it = m_tasks.find(task);
+  if (it == m_tasks.end())
+    return;
+  const RunningTask& running = it->second;
+  const WorkerIndex index = running.worker;
+  Worker& worker = m_workers[index];
+  worker.tasks[running.offset] = worker.tasks.back();
+  worker.tasks[running.offset]->offset = running.offset;
+  worker.tasks.pop_back();
+  worker.used -= running.charged;
+  if (running.IsEvictable()) {
+    (running.is_evicting ? worker.evicting : worker.evictable) -=
+        running.charged;
+    --m_batch_tasks;
+  }
+  if (running.spec->kind != TaskKind::kBatch)
+    CountSensitive(worker, running.workload, -1);
+  CountSpread(running, -1);
+  m_tasks.erase(it);
+  if (!worker.is_known && worker.tasks.empty()) {
+    m_by_node.erase(worker.info.node);
+    m_unused.push_back(index);
+    return;
+  }
+  UpdateIndexes(index);
+  NotifyGrowth(index);
+}
+
+RunningTask* Cluster::FindTask(TaskId task) {
+  const auto it = m_tasks.find(task);
+  return it == m_tasks.end() ? nullptr : &it->second;
+}
+
+const RunningTask* Cluster::FindTask(TaskId task) const {
+  const auto it = m_tasks.find(task);
+  return it == m_tasks.end() ? nullptr : &it->second;
+}
+
+void Cluster::Recharge(RunningTask& task, const Resources& charged) {
+  Worker& worker = m_workers[task.worker];
+  const bool has_grown = !task.charged.FitsIn(charged);
+  worker.used += charged - task.charged;
+  if (task.IsEvictable())
+    (task.is_evicting ? worker.evicting : worker.evictable) +=
+        charged - task.charged;
+  task.charged = charged;
+  UpdateIndexes(task.worker);
+  if (has_grown)
+    NotifyGrowth(task.worker);
+}
+
+void Cluster::MarkEvicting(RunningTask& task) {
+  if (task.is_evicting || !task.IsEvictable())
+    return;
+  task.is_evicting = true;
+  Worker& worker = m_workers[task.worker];
+  worker.evictable -= task.charged;
+  worker.evicting += task.charged;
+  UpdateIndexes(task.worker);
+}
+
+void Cluster::AddClaim(WorkerIndex worker, const Resources& need) {
+  m_workers[worker].claimed += need;
+  UpdateIndexes(worker);
+}
+
+void Cluster::RemoveClaim(WorkerIndex worker, const Resources& need) {
+  m_workers[worker].claimed -= need;
+  UpdateIndexes(worker);
+  NotifyGrowth(worker);
+}
+
+void Cluster::SetQuarantined(WorkerIndex worker, bool is_quarantined) {
+  m_workers[worker].is_quarantined = is_quarantined;
+  UpdateIndexes(worker);
+  NotifyGrowth(worker);
+}
+
+uint32_t Cluster::CountInDataCentre(uint64_t spread_key,
+                                    uint32_t data_centre) const {
+  return GetCount(m_spread, Mix(spread_key, data_centre));
+}
+
+uint32_t Cluster::CountInRack(uint64_t spread_key, uint32_t rack) const {
+  return GetCount(m_spread, Mix(spread_key, rack | kRackBit));
+}
+
+bool Cluster::FitsSomeCapacity(const Resources& size) const {
+  return std::any_of(
+      m_capacities.begin(), m_capacities.end(),
+      [&](const auto& entry) { return size.FitsIn(FromKey(entry.first)); });
+}
+
+Resources Cluster::ClampToCapacity(const Resources& size,
+                                   const Resources& declared) const {
+  if (FitsSomeCapacity(size))
+    return size;
+  // The last key that holds the declared size has the most processors.
+  for (auto it = m_capacities.rbegin(); it != m_capacities.rend(); ++it) {
+    const Resources capacity = FromKey(it->first);
+    if (declared.FitsIn(capacity)) {
+      return {std::min(size.cpu_millicores, capacity.cpu_millicores),
+              std::min(size.memory_mib, capacity.memory_mib),
+              size.accelerators};
+    }
+  }
+  return declared;
+}
+
+void Cluster::CountCapacity(const Resources& capacity, int change) {
+  const CapacityKey key{capacity.cpu_millicores, capacity.memory_mib,
+                        capacity.accelerators};
+  size_t& count = m_capacities[key];
+  if (change > 0) {
+    m_total += capacity;
+    ++m_known_workers;
+    if (++count == 1)
+      ++m_capacity_version;
+    return;
+  }
+  m_total -= capacity;
+  --m_known_workers;
+  if (--count == 0) {
+    m_capacities.erase(key);
+    ++m_capacity_version;
+  }
+}
+
+void Cluster::CountSpread(const RunningTask& task, int change) {
+  const uint64_t key = SpreadKey(*task.spec, task.task.job, task.workload);
+  const Worker& worker = m_workers[task.worker];
+  AddCount(m_spread, Mix(key, worker.data_centre), change);
+  AddCount(m_spread, Mix(key, worker.rack | kRackBit), change);
+}
+
+void Cluster::CountSensitive(Worker& worker, WorkloadKey workload, int change) {
+  auto& counts = worker.sensitive;
+  auto it = std::find_if(counts.begin(), counts.end(), [&](const auto& item) {
+    return item.first == workload;
+  });
+  if (it == counts.end())
+    it = counts.emplace(counts.end(), workload, 0);
+  it->second += static_cast<uint32_t>(change);
+  if (it->second == 0)
+    counts.erase(it);
+}
+
+void Cluster::UpdateIndexes(WorkerIndex index) {
+  const Worker& worker = m_workers[index];
+  if (worker.data_centre >= m_free.size())
+    return;
+  if (!worker.IsOpen()) {
+    m_free[worker.data_centre].Remove(index);
+    m_evictable.Remove(index);
+    return;
+  }
+  const Resources usable = worker.Usable();
+  m_free[worker.data_centre].Set(index, usable);
+  m_evictable.Set(index, usable + worker.evictable);
+}
+
+void Cluster::NotifyGrowth(WorkerIndex index) {
+  m_growth_listener(m_workers[index]);
+}
+
+uint32_t Cluster::Intern(std::unordered_map<std::string, uint32_t>& names,
+                         const std::string& name) {
+  return names.emplace(name, static_cast<uint32_t>(names.size())).first->second;
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/placement/fair_scheduler.cc
@@ -0,0 +1,679 @@
+#include "source/placement/fair_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace fulmarrock {
+namespace {
+
+// A short run time moves a task forward by at most this much, so that no task
+// waits longer than this for shorter ones of its customer.
+constexpr Millis kMaxOrderDelay = Millis::FromSeconds(600);
+
+// Blocked tasks that waited this long may claim a worker.
+constexpr Millis kReserveInteractiveAfter = Millis::FromSeconds(5);
+constexpr Millis kReserveBatchAfter = Millis::FromSeconds(30);
+constexpr Millis kReservationInterval = Millis::FromSeconds(1);
+
+// Claims per class: one in small clusters, and one for this many workers, so
+// that the capacity held back stays near two percent.
+constexpr size_t kWorkersPerClaim = 50;
+
+// Claims of urgent tasks at once, and candidates compared for each.
+constexpr size_t kMaxUrgentClaims = 512;
+constexpr size_t kEvictionCandidates = 16;
+
+// Urgent tasks first wait this long for a task that ends by itself.
+constexpr Millis kEvictAfter{300};
+
+// A running task is charged anew when its measured use leaves the charged size
+// by more than this part.
+constexpr int64_t kRechargeDivisor = 16;
+
+// Part of the distance by which a charged size approaches a lower measurement.
+constexpr int64_t kChargeDecayDivisor = 8;
+
+int64_t FollowUsage(int64_t charged, int64_t declared, int64_t measured) {
+  measured = std::clamp<int64_t>(measured, 0, Resources::kMaxAmount);
+  const int64_t wanted = std::max(declared, measured);
+  if (wanted > charged + charged / kRechargeDivisor)
+    return wanted;
+  if (wanted < charged - charged / kRechargeDivisor)
+    return charged - (charged - wanted) / kChargeDecayDivisor;
+  return std::max(charged, declared);
+}
+
+size_t MaxClaims(const Cluster& cluster) {
+  return std::max<size_t>(1, cluster.known_worker_count() / kWorkersPerClaim);
+}
+
+nlohmann::json ToJson(const Resources& resources) {
+  return {{"cpu_millicores", resources.cpu_millicores},
+          {"memory_mib", resources.memory_mib},
+          {"accelerators", resources.accelerators}};
+}
+
+}  // namespace
+
+FairScheduler::State::State(SchedulerPolicies selected)
+    : policies(std::move(selected)),
+      queue(*policies.order),
+      cluster([this](const Worker& worker) {
+        if (worker.IsOpen())
+          queue.UnblockFitting(worker.Usable());
+      }),
+      claims(cluster, queue) {}
+
+FairScheduler::FairScheduler(PolicyFactory make_policies)
+    : m_make_policies(std::move(make_policies)),
+      m_state(std::make_unique<State>(m_make_policies())) {}
+
+void FairScheduler::Clear() {
+  m_state = std::make_unique<State>(m_make_policies());
+}
+
+void FairScheduler::SetConfiguration(const Configuration& configuration) {
+  m_state->configuration = configuration;
+  for (CustomerIndex i = 0; i < m_state->queue.customer_count(); ++i) {
+    if (!RefreshCustomer(i))
+      continue;
+    for (const TaskId task : m_state->queue.TasksOfCustomer(i)) {
+      m_state->claims.Remove(task);
+      Reenter(task);
+      m_state->unchecked.push_back(task);
+    }
+    m_state->queue.UnblockCustomer(i);
+  }
+}
+
+void FairScheduler::UpsertWorker(const WorkerInfo& worker) {
+  m_state->cluster.Upsert(worker);
+}
+
+void FairScheduler::RemoveWorker(const NodeId& worker) {
+  const std::optional<WorkerIndex> index = m_state->cluster.Find(worker);
+  if (!index)
+    return;
+  m_state->claims.RemoveOnWorker(*index);
+  const Resources held = m_state->overloads.ForgetWorker(*index);
+  m_state->cluster.RemoveClaim(*index, held);
+  m_state->policies.failures->ForgetWorker(*index);
+  m_state->cluster.SetQuarantined(*index, false);
+  m_state->cluster.Remove(worker);
+}
+
+void FairScheduler::Enqueue(const PendingTask& task) {
+  if (m_state->queue.Find(task.task) || m_state->cluster.FindTask(task.task))
+    return;
+  if (!m_state->configuration.FindPlanOfCustomer(task.spec->customer)) {
+    ReportUnplaceable(task.task, "customer " + task.spec->customer +
+                                     " is not in the list of customers or has "
+                                     "an unknown plan; add it to the lists");
+    return;
+  }
+  const CustomerIndex customer =
+      m_state->queue.InternCustomer(task.spec->customer);
+  RefreshCustomer(customer);
+  m_state->queue.Add(MakeEntry(task, customer));
+  m_state->unchecked.push_back(task.task);
+}
+
+void FairScheduler::RemovePending(TaskId task) {
+  m_state->claims.Remove(task);
+  m_state->queue.Remove(task);
+}
+
+void FairScheduler::AddRunning(const PendingTask& task,
+                               const NodeId& worker,
+                               Millis started) {
+  if (m_state->cluster.FindTask(task.task))
+    return;
+  RemovePending(task.task);
+  const CustomerIndex customer =
+      m_state->queue.InternCustomer(task.spec->customer);
+  RefreshCustomer(customer);
+  Account(MakeEntry(task, customer), m_state->cluster.FindOrAdd(worker),
+          started);
+}
+
+void FairScheduler::Release(TaskId task, AttemptResult result, Millis runtime) {
+  const RunningTask* running = m_state->cluster.FindTask(task);
+  if (!running)
+    return;
+  const JobSpec& spec = *running->spec;
+  const WorkerIndex worker = running->worker;
+  CustomerState& customer = m_state->queue.customer(running->customer);
+  customer.declared -= spec.resources;
+  customer.running[static_cast<size_t>(running->task_class)] -=
+      running->charged;
+  const SchedulerPolicies& policies = m_state->policies;
+  const Millis* progress = m_state->progress.Find(task);
+  const Millis total = progress ? *progress + runtime : runtime;
+  if (result == AttemptResult::kCompleted) {
+    policies.estimator->RecordRuntime(running->workload, spec.expected_runtime,
+                                      total);
+    policies.failures->RecordSuccess(worker, task.job);
+  } else if (result == AttemptResult::kFailed) {
+    policies.failures->RecordFailure(worker, task.job, m_state->now);
+  } else if (spec.can_checkpoint) {
+    m_state->progress.Get(task) = total;
+  }
+  if (result != AttemptResult::kStopped)
+    m_state->progress.Erase(task);
+  const CustomerIndex owner = running->customer;
+  m_state->cluster.RemoveTask(task);
+  m_state->queue.UnblockCustomer(owner);
+  ApplyQuarantine();
+}
+
+std::vector<Placement> FairScheduler::Schedule(size_t limit, Millis now) {
+  m_state->now = now;
+  std::vector<Placement> placements;
+  ReenterChanged();
+  CheckPlaceable();
+  UnblockForProbes(now);
+  m_state->claims.RemoveStale(now);
+  for (const OverloadTracker::Hold& hold : m_state->overloads.Release(now))
+    m_state->cluster.RemoveClaim(hold.worker, hold.size);
+  PlaceClaimed(limit, now, placements);
+  for (const TaskClass task_class :
+       {TaskClass::kUrgent, TaskClass::kInteractive, TaskClass::kBatch})
+    PlaceClass(task_class, limit, now, placements);
+  ReserveForWaiting(now);
+  return placements;
+}
+
+std::vector<Eviction> FairScheduler::ChooseEvictions(Millis now) {
+  m_state->now = now;
+  std::vector<Eviction> evictions;
+  EvictForUrgent(now, evictions);
+  EvictForServices(now, evictions);
+  return evictions;
+}
+
+std::vector<UnplaceableTask> FairScheduler::TakeUnplaceable() {
+  CheckPlaceable();
+  std::vector<UnplaceableTask> unplaceable =
+      std::exchange(m_state->unplaceable, {});
+  // The owner may have entered a task again in the meantime.
+  std::erase_if(unplaceable, [&](const UnplaceableTask& item) {
+    return m_state->queue.Find(item.task) ||
+           m_state->cluster.FindTask(item.task);
+  });
+  return unplaceable;
+}
+
+void FairScheduler::OnUsage(const NodeId& worker,
+                            const UsageReport& report,
+                            Millis now) {
+  m_state->now = now;
+  const std::optional<WorkerIndex> index = m_state->cluster.Find(worker);
+  if (!index)
+    return;
+  for (const TaskUsage& usage : report.tasks)
+    RecordTaskUsage(*index, usage);
+  RecordServices(*index, report, now);
+}
+
+bool FairScheduler::RefreshCustomer(CustomerIndex customer) {
+  CustomerState& state = m_state->queue.customer(customer);
+  const Plan* plan = m_state->configuration.FindPlanOfCustomer(state.name);
+  const Plan wanted = plan ? *plan : Plan();
+  const bool is_changed = state.is_listed != (plan != nullptr) ||
+                          state.weight != wanted.weight ||
+                          !(state.quota == wanted.quota) ||
+                          state.allows_urgent != wanted.allows_urgent;
+  state.is_listed = plan != nullptr;
+  state.weight = wanted.weight;
+  state.quota = wanted.quota;
+  state.allows_urgent = wanted.allows_urgent;
+  return is_changed;
+}
+
+TaskClass FairScheduler::ClassOf(const JobSpec& spec,
+                                 const CustomerState& customer) const {
+  if (spec.is_urgent && customer.allows_urgent)
+    return TaskClass::kUrgent;
+  return spec.kind == TaskKind::kBatch ? TaskClass::kBatch
+                                       : TaskClass::kInteractive;
+}
+
+PendingEntry FairScheduler::MakeEntry(const PendingTask& task,
+                                      CustomerIndex customer) const {
+  const JobSpec& spec = *task.spec;
+  PendingEntry entry;
+  entry.task = task;
+  entry.customer = customer;
+  entry.task_class = ClassOf(spec, m_state->queue.customer(customer));
+  entry.workload = WorkloadKeyOf(spec);
+  const UsageEstimator& estimator = *m_state->policies.estimator;
+  entry.need = m_state->cluster.ClampToCapacity(
+      estimator.EstimateSize(entry.workload, spec.resources), spec.resources);
+  entry.order = task.since;
+  if (entry.task_class == TaskClass::kBatch)
+    entry.order += std::min(
+        estimator.EstimateRuntime(entry.workload, spec.expected_runtime),
+        kMaxOrderDelay);
+  return entry;
+}
+
+void FairScheduler::Reenter(TaskId task) {
+  const PendingEntry* entry = m_state->queue.Find(task);
+  if (!entry)
+    return;
+  const PendingEntry renewed = MakeEntry(entry->task, entry->customer);
+  if (renewed.task_class == entry->task_class && renewed.need == entry->need)
+    return;
+  m_state->claims.Remove(task);
+  m_state->queue.Remove(task);
+  m_state->queue.Add(renewed);
+}
+
+void FairScheduler::ReenterChanged() {
+  for (const WorkloadKey workload :
+       std::exchange(m_state->changed_workloads, {}))
+    for (const TaskId task : m_state->queue.TasksOfWorkload(workload))
+      Reenter(task);
+}
+
+std::optional<std::string> FairScheduler::FindObstacle(
+    const PendingEntry& entry) const {
+  const CustomerState& customer = m_state->queue.customer(entry.customer);
+  const Resources& declared = entry.task.spec->resources;
+  if (!customer.is_listed)
+    return "customer " + customer.name +
+           " is not in the list of customers or has an unknown plan; add it "
+           "to the lists";
+  if (!declared.FitsIn(customer.quota))
+    return "the task needs " + declared.ToString() + ", but the plan of " +
+           customer.name + " allows " + customer.quota.ToString() +
+           "; reduce the size or raise the quota";
+  // Before the first worker is known, nothing can be said about sizes.
+  if (m_state->cluster.known_worker_count() > 0 &&
+      !m_state->cluster.FitsSomeCapacity(declared))
+    return "the task needs " + declared.ToString() +
+           ", but no worker is that large; reduce the size or add such a "
+           "worker";
+  return std::nullopt;
+}
+
+void FairScheduler::CheckPlaceable() {
+  std::vector<TaskId> tasks = std::exchange(m_state->unchecked, {});
+  const uint64_t version = m_state->cluster.capacity_version();
+  if (version != m_state->checked_capacity_version) {
+    m_state->checked_capacity_version = version;
+    for (const TaskId head : m_state->queue.GroupHeads()) {
+      const PendingEntry& entry = *m_state->queue.Find(head);
+      const bool is_resized =
+          !(MakeEntry(entry.task, entry.customer).need == entry.need);
+      if (!is_resized && !FindObstacle(entry))
+        continue;
+      for (const TaskId task : m_state->queue.TasksOfGroup(head)) {
+        Reenter(task);
+        tasks.push_back(task);
+      }
+    }
+  }
+  for (const TaskId task : tasks) {
+    const PendingEntry* entry = m_state->queue.Find(task);
+    if (!entry)
+      continue;
+    const std::optional<std::string> obstacle = FindObstacle(*entry);
+    if (!obstacle)
+      continue;
+    RemovePending(task);
+    ReportUnplaceable(task, *obstacle);
+  }
+}
+
+void FairScheduler::ReportUnplaceable(TaskId task, const std::string& reason) {
+  m_state->unplaceable.push_back({task, reason});
+}
+
+void FairScheduler::Account(const PendingEntry& entry,
+                            WorkerIndex worker,
+                            Millis started) {
+  RunningTask running;
+  running.task = entry.task.task;
+  running.spec = entry.task.spec;
+  running.worker = worker;
+  running.charged = entry.need;
+  running.workload = entry.workload;
+  running.since = entry.task.since;
+  running.started = started;
+  running.customer = entry.customer;
+  running.task_class = entry.task_class;
+  CustomerState& customer = m_state->queue.customer(entry.customer);
+  customer.declared += entry.task.spec->resources;
+  customer.running[static_cast<size_t>(entry.task_class)] += entry.need;
+  m_state->cluster.AddTask(running);
+}
+
+void FairScheduler::Start(TaskId task,
+                          WorkerIndex worker,
+                          Millis now,
+                          std::vector<Placement>& out) {
+  const PendingEntry entry = *m_state->queue.Find(task);
+  m_state->queue.Remove(task);
+  // The task is accounted before its claim ends, so that the claimed capacity
+  // never appears to be free.
+  Account(entry, worker, now);
+  m_state->claims.Remove(task);
+  out.push_back({task, m_state->cluster.worker(worker).info.node});
+}
+
+void FairScheduler::PlaceClaimed(size_t limit,
+                                 Millis now,
+                                 std::vector<Placement>& out) {
+  for (const Claim& claim : m_state->claims.Ready()) {
+    if (out.size() >= limit)
+      return;
+    const PendingEntry* entry = m_state->queue.Find(claim.task);
+    const Worker& worker = m_state->cluster.worker(*claim.worker);
+    // An earlier claim may have taken the room in this round.
+    if (m_state->claims.FitsQuota(*entry) && entry->need.FitsIn(worker.Free()))
+      Start(claim.task, *claim.worker, now, out);
+  }
+}
+
+void FairScheduler::PlaceClass(TaskClass task_class,
+                               size_t limit,
+                               Millis now,
+                               std::vector<Placement>& out) {
+  while (out.size() < limit) {
+    const PendingEntry* entry =
+        m_state->queue.Next(task_class, m_state->cluster.total_capacity());
+    if (!entry)
+      return;
+    if (!m_state->claims.FitsQuota(*entry)) {
+      WaitForQuota(*entry, now);
+      continue;
+    }
+    const std::optional<WorkerIndex> worker = ChooseWorker(*entry, now);
+    if (worker)
+      Start(entry->task.task, *worker, now, out);
+    else
+      m_state->queue.BlockSize(entry->need);
+  }
+}
+
+void FairScheduler::WaitForQuota(const PendingEntry& entry, Millis now) {
+  if (now - entry.task.since >= kReserveBatchAfter &&
+      !m_state->claims.HasQuotaClaim(entry.customer, entry.task_class) &&
+      !m_state->claims.Find(entry.task.task))
+    m_state->claims.Add(entry, std::nullopt, now);
+  m_state->queue.BlockOnQuota(entry);
+}
+
+std::optional<WorkerIndex> FairScheduler::ChooseWorker(
+    const PendingEntry& entry,
+    Millis now) {
+  const std::optional<WorkerIndex> probe = ChooseProbe(entry, now);
+  if (probe)
+    return probe;
+  return m_state->policies.placement->Choose(
+      m_state->cluster,
+      {entry.task.task, entry.task.spec, entry.workload, entry.need, now});
+}
+
+std::optional<WorkerIndex> FairScheduler::ChooseProbe(const PendingEntry& entry,
+                                                      Millis now) {
+  FailureAttribution& failures = *m_state->policies.failures;
+  if (entry.task_class != TaskClass::kBatch ||
+      failures.IsJobBlamed(entry.task.task.job))
+    return std::nullopt;
+  for (const WorkerIndex index : failures.DueProbes(now)) {
+    const Worker& worker = m_state->cluster.worker(index);
+    if (!worker.is_known || !worker.info.accepts_tasks ||
+        !entry.need.FitsIn(worker.Usable()))
+      continue;
+    failures.OnProbeStarted(index, now);
+    return index;
+  }
+  return std::nullopt;
+}
+
+void FairScheduler::UnblockForProbes(Millis now) {
+  for (const WorkerIndex index : m_state->policies.failures->DueProbes(now))
+    m_state->queue.UnblockFitting(m_state->cluster.worker(index).Usable());
+}
+
+void FairScheduler::ApplyQuarantine() {
+  FailureAttribution& failures = *m_state->policies.failures;
+  for (const WorkerIndex worker : failures.TakeChanges())
+    m_state->cluster.SetQuarantined(worker, failures.IsQuarantined(worker));
+}
+
+void FairScheduler::ReserveForWaiting(Millis now) {
+  if (now < m_state->next_reservation)
+    return;
+  m_state->next_reservation = now + kReservationInterval;
+  ReserveForClass(TaskClass::kInteractive, now);
+  ReserveForClass(TaskClass::kBatch, now);
+}
+
+void FairScheduler::ReserveForClass(TaskClass task_class, Millis now) {
+  const size_t max_claims = MaxClaims(m_state->cluster);
+  if (m_state->claims.CountOfClass(task_class) >= max_claims)
+    return;
+  const Millis delay = task_class == TaskClass::kBatch
+                           ? kReserveBatchAfter
+                           : kReserveInteractiveAfter;
+  struct Waiting {
+    double rank = 0;
+    Millis since;
+    TaskId task;
+  };
+  std::vector<Waiting> waiting;
+  const auto index = static_cast<size_t>(task_class);
+  m_state->queue.VisitBlocked(task_class, [&](const PendingEntry& entry) {
+    if (now - entry.task.since < delay || !m_state->claims.FitsQuota(entry) ||
+        m_state->claims.HasWorker(entry.task.task))
+      return;
+    const CustomerState& customer = m_state->queue.customer(entry.customer);
+    const CustomerDemand demand{customer.running[index], customer.weight,
+                                entry.order};
+    waiting.push_back({m_state->policies.order->Rank(
+                           demand, m_state->cluster.total_capacity()),
+                       entry.task.since, entry.task.task});
+  });
+  std::sort(waiting.begin(), waiting.end(),
+            [](const Waiting& left, const Waiting& right) {
+              return std::tie(left.rank, left.since, left.task) <
+                     std::tie(right.rank, right.since, right.task);
+            });
+  for (const Waiting& item : waiting) {
+    if (m_state->claims.CountOfClass(task_class) >= max_claims)
+      return;
+    const PendingEntry& entry = *m_state->queue.Find(item.task);
+    const std::optional<WorkerIndex> worker = FindEarliestWorker(entry, now);
+    if (worker)
+      m_state->claims.Add(entry, *worker, now);
+  }
+}
+
+std::optional<WorkerIndex> FairScheduler::FindEarliestWorker(
+    const PendingEntry& entry,
+    Millis now) {
+  std::vector<WorkerIndex> candidates;
+  m_state->cluster.evictable_index().Collect(entry.need, kEvictionCandidates,
+                                             ++m_state->rotation, candidates);
+  std::optional<WorkerIndex> best;
+  Millis earliest;
+  for (const WorkerIndex index : candidates) {
+    const Millis drain =
+        EstimateDrain(m_state->cluster.worker(index), entry.need, now);
+    if (!best || drain < earliest) {
+      best = index;
+      earliest = drain;
+    }
+  }
+  return best;
+}
+
+Millis FairScheduler::EstimateDrain(const Worker& worker,
+                                    const Resources& need,
+                                    Millis now) const {
+  std::vector<std::pair<Millis, const RunningTask*>> ends;
+  for (const RunningTask* task : worker.tasks) {
+    if (!task->IsEvictable())
+      continue;
+    const Millis runtime = m_state->policies.estimator->EstimateRuntime(
+        task->workload, task->spec->expected_runtime);
+    ends.emplace_back(std::max(task->started + runtime, now), task);
+  }
+  std::sort(ends.begin(), ends.end(), [](const auto& left, const auto& right) {
+    return left.first < right.first;
+  });
+  Resources room = worker.Usable();
+  for (const auto& [end, task] : ends) {
+    if (need.FitsIn(room))
+      return end - now;
+    room += task->charged;
+  }
+  return ends.empty() ? Millis(0) : ends.back().first - now;
+}
+
+void FairScheduler::EvictForUrgent(Millis now, std::vector<Eviction>& out) {
+  EvictionPolicy& policy = *m_state->policies.eviction;
+  for (const TaskId task :
+       m_state->queue.BlockedTasks(TaskClass::kUrgent, kMaxUrgentClaims)) {
+    const PendingEntry& entry = *m_state->queue.Find(task);
+    if (now - entry.task.since < kEvictAfter ||
+        !m_state->claims.FitsQuota(entry) || m_state->claims.HasWorker(task))
+      continue;
+    std::vector<WorkerIndex> candidates;
+    m_state->cluster.evictable_index().Collect(entry.need, kEvictionCandidates,
+                                               ++m_state->rotation, candidates);
+    std::optional<EvictionPlan> best;
+    WorkerIndex best_worker = 0;
+    for (const WorkerIndex index : candidates) {
+      std::optional<EvictionPlan> plan =
+          policy.Plan(m_state->cluster.worker(index), entry.need, now);
+      if (plan && (!best || plan->cost < best->cost)) {
+        best = std::move(plan);
+        best_worker = index;
+      }
+    }
+    if (!best || best->tasks.size() >
+                     policy.Allowance(EvictionCause::kUrgentWork,
+                                      m_state->cluster.batch_task_count(), now))
+      continue;
+    m_state->claims.Add(entry, best_worker, now);
+    for (const TaskId victim : best->tasks)
+      Evict(victim, "makes room for urgent task " + ToString(task), now, out);
+  }
+}
+
+void FairScheduler::EvictForServices(Millis now, std::vector<Eviction>& out) {
+  EvictionPolicy& policy = *m_state->policies.eviction;
+  for (const WorkerIndex worker : m_state->overloads.Due(now)) {
+    if (policy.Allowance(EvictionCause::kOverloadedService,
+                         m_state->cluster.batch_task_count(), now) == 0)
+      return;
+    const std::optional<TaskId> victim =
+        policy.ChooseOne(m_state->cluster.worker(worker), now);
+    if (!victim)
+      continue;
+    const Resources size = m_state->cluster.FindTask(*victim)->charged;
+    Evict(*victim, "a service on the worker exceeds its latency objective", now,
+          out);
+    m_state->cluster.AddClaim(worker, size);
+    m_state->overloads.OnEviction(worker, size, now);
+  }
+}
+
+void FairScheduler::Evict(TaskId task,
+                          const std::string& reason,
+                          Millis now,
+                          std::vector<Eviction>& out) {
+  m_state->cluster.MarkEvicting(*m_state->cluster.FindTask(task));
+  m_state->policies.eviction->RecordEviction(task, now);
+  out.push_back({task, reason});
+}
+
+void FairScheduler::RecordTaskUsage(WorkerIndex worker,
+                                    const TaskUsage& usage) {
+  RunningTask* running = m_state->cluster.FindTask(usage.task);
+  if (!running || running->worker != worker)
+    return;
+  if (m_state->policies.estimator->RecordUsage(
+          running->workload, usage.cpu_millicores, usage.memory_mib))
+    m_state->changed_workloads.insert(running->workload);
+  const Resources& declared = running->spec->resources;
+  Resources charged = running->charged;
+  charged.cpu_millicores = FollowUsage(
+      charged.cpu_millicores, declared.cpu_millicores, usage.cpu_millicores);
+  charged.memory_mib =
+      FollowUsage(charged.memory_mib, declared.memory_mib, usage.memory_mib);
+  if (charged == running->charged)
+    return;
+  CustomerState& customer = m_state->queue.customer(running->customer);
+  customer.running[static_cast<size_t>(running->task_class)] +=
+      charged - running->charged;
+  m_state->cluster.Recharge(*running, charged);
+}
+
+void FairScheduler::RecordServices(WorkerIndex worker,
+                                   const UsageReport& report,
+                                   Millis now) {
+  double worst = -1;
+  for (const ServiceLatency& latency : report.services) {
+    if (latency.objective <= Millis(0) || latency.p99 < Millis(0))
+      continue;
+    const double ratio = static_cast<double>(latency.p99.count()) /
+                         static_cast<double>(latency.objective.count());
+    worst = std::max(worst, ratio);
+    std::vector<WorkloadKey> neighbours;
+    for (const std::string& name : latency.neighbour_workloads)
+      neighbours.push_back(MakeWorkloadKey(name));
+    std::sort(neighbours.begin(), neighbours.end());
+    neighbours.erase(std::unique(neighbours.begin(), neighbours.end()),
+                     neighbours.end());
+    m_state->policies.interference->Record(MakeWorkloadKey(latency.service),
+                                           neighbours, ratio, now - report.age);
+  }
+  if (worst >= 0)
+    m_state->overloads.Record(worker, worst, now);
+}
+
+std::string FairScheduler::DumpState() const {
+  const PendingQueue& queue = m_state->queue;
+  nlohmann::json dump;
+  dump["pending"] = {
+      {"urgent", queue.CountOfClass(TaskClass::kUrgent)},
+      {"interactive", queue.CountOfClass(TaskClass::kInteractive)},
+      {"batch", queue.CountOfClass(TaskClass::kBatch)}};
+  dump["blocked_sizes"] = queue.blocked_size_count();
+  dump["running"] = running_count();
+  dump["workers"] = m_state->cluster.known_worker_count();
+  dump["total_capacity"] = ToJson(m_state->cluster.total_capacity());
+  dump["customers"] = nlohmann::json::array();
+  for (CustomerIndex i = 0; i < queue.customer_count(); ++i) {
+    const CustomerState& customer = queue.customer(i);
+    dump["customers"].push_back({{"name", customer.name},
+                                 {"weight", customer.weight},
+                                 {"quota", ToJson(customer.quota)},
+                                 {"running", ToJson(customer.declared)},
+                                 {"is_over_quota", customer.is_over_quota}});
+  }
+  dump["claims"] = nlohmann::json::array();
+  for (const Claim& claim : m_state->claims.All()) {
+    const std::string node =
+        claim.worker ? m_state->cluster.worker(*claim.worker).info.node : "";
+    dump["claims"].push_back({{"task", ToString(claim.task)},
+                              {"worker", node},
+                              {"need", ToJson(claim.need)}});
+  }
+  dump["quarantined_workers"] = nlohmann::json::array();
+  for (WorkerIndex i = 0; i < m_state->cluster.worker_slots(); ++i) {
+    const Worker& worker = m_state->cluster.worker(i);
+    if (worker.is_quarantined)
+      dump["quarantined_workers"].push_back(worker.info.node);
+  }
+  return dump.dump();
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/placement/packing_placement.cc
@@ -0,0 +1,119 @@
+#include "source/placement/packing_placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fulmarrock {
+namespace {
+
+// Candidates per decision over all data centres, and at least from each one.
+constexpr size_t kCandidates = 24;
+constexpr size_t kMinPerDataCentre = 4;
+
+// Weights of the parts of a score. The packing part lies between 0 and 3.
+constexpr double kAcceleratorWaste = 4;
+constexpr double kInterferenceWeight = 6;
+constexpr double kFailedHereBefore = 20;
+constexpr double kSpreadSensitive = 2;
+constexpr double kSpreadBatch = 0.3;
+
+// Beyond this many tasks more than elsewhere, spreading gains nothing.
+constexpr uint32_t kMaxSpreadDifference = 4;
+
+double ShareOf(int64_t part, int64_t whole) {
+  return whole <= 0 ? 0
+                    : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+double SpreadWeight(const JobSpec& spec) {
+  if (spec.kind != TaskKind::kBatch)
+    return kSpreadSensitive;
+  return spec.task_count > 1 ? kSpreadBatch : 0;
+}
+
+}  // namespace
+
+std::optional<WorkerIndex> PackingPlacement::Choose(
+    const Cluster& cluster,
+    const PlacementRequest& request) {
+  const uint32_t data_centres = cluster.data_centre_count();
+  if (data_centres == 0)
+    return std::nullopt;
+  m_candidates.clear();
+  const size_t share = std::max(kCandidates / data_centres, kMinPerDataCentre);
+  ++m_rotation;
+  for (uint32_t i = 0; i < data_centres; ++i)
+    cluster.free_index(i).Collect(request.need, share, m_rotation,
+                                  m_candidates);
+
+  const uint64_t key =
+      Cluster::SpreadKey(*request.spec, request.task.job, request.workload);
+  const double spread_weight = SpreadWeight(*request.spec);
+  uint32_t lowest_data_centre = ~uint32_t{0};
+  uint32_t lowest_rack = ~uint32_t{0};
+  if (spread_weight > 0) {
+    for (const WorkerIndex index : m_candidates) {
+      const Worker& worker = cluster.worker(index);
+      lowest_data_centre =
+          std::min(lowest_data_centre,
+                   cluster.CountInDataCentre(key, worker.data_centre));
+      lowest_rack =
+          std::min(lowest_rack, cluster.CountInRack(key, worker.rack));
+    }
+  }
+
+  std::optional<WorkerIndex> best;
+  double best_score = 0;
+  for (const WorkerIndex index : m_candidates) {
+    const Worker& worker = cluster.worker(index);
+    double score =
+        PackingScore(worker, request.need) + InterferenceScore(worker, request);
+    if (spread_weight > 0) {
+      const uint32_t extra =
+          cluster.CountInDataCentre(key, worker.data_centre) -
+          lowest_data_centre + cluster.CountInRack(key, worker.rack) -
+          lowest_rack;
+      score += spread_weight * std::min(extra, kMaxSpreadDifference);
+    }
+    if (m_failures.HasFailed(index, request.task.job))
+      score += kFailedHereBefore;
+    if (!best || score < best_score) {
+      best = index;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+double PackingPlacement::PackingScore(const Worker& worker,
+                                      const Resources& need) const {
+  const Resources left = worker.Usable() - need;
+  const Resources& capacity = worker.info.capacity;
+  const double cpu = ShareOf(left.cpu_millicores, capacity.cpu_millicores);
+  const double memory = ShareOf(left.memory_mib, capacity.memory_mib);
+  // A remainder of only processors or only memory serves nobody.
+  double score = cpu + memory + std::abs(cpu - memory);
+  if (left.accelerators > 0) {
+    const double idle = ShareOf(left.accelerators, capacity.accelerators);
+    score += need.accelerators > 0 ? idle : kAcceleratorWaste * idle;
+  }
+  return score;
+}
+
+double PackingPlacement::InterferenceScore(
+    const Worker& worker,
+    const PlacementRequest& request) const {
+  double disturbance = 0;
+  if (request.spec->kind == TaskKind::kBatch) {
+    for (const auto& [service, count] : worker.sensitive)
+      disturbance +=
+          m_interference.Disturbance(service, request.workload, request.now);
+  } else if (m_interference.HasRecords(request.workload)) {
+    for (const RunningTask* task : worker.tasks)
+      disturbance += m_interference.Disturbance(request.workload,
+                                                task->workload, request.now);
+  }
+  return kInterferenceWeight * disturbance;
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/placement/pending_queue.h
@@ -0,0 +1,176 @@
+#ifndef SOURCE_PLACEMENT_PENDING_QUEUE_H_
+#define SOURCE_PLACEMENT_PENDING_QUEUE_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "source/placement/customer_order.h"
+#include "source/placement/scheduler.h"
+#include "source/placement/task_class.h"
+#include "source/placement/workload_key.h"
+
+namespace fulmarrock {
+
+/// A customer as far as the queue is concerned.
+struct CustomerState {
+  std::string name;
+  /// False for a customer that is not in the lists or has no known plan.
+  bool is_listed = false;
+  int64_t weight = 1;
+  Resources quota;
+  bool allows_urgent = false;
+  /// Declared sizes of all running tasks, for the quota.
+  Resources declared;
+  /// Declared sizes by class of waiting tasks for which quota is held.
+  std::array<Resources, kTaskClassCount> claimed;
+  /// Whether a group of the customer may be blocked on the quota.
+  bool is_over_quota = false;
+  /// Charged sizes of the running tasks by class, for the fair share.
+  std::array<Resources, kTaskClassCount> running;
+};
+
+/// A waiting task with what the queue derived from it.
+struct PendingEntry {
+  PendingTask task;
+  CustomerIndex customer = 0;
+  TaskClass task_class = TaskClass::kBatch;
+  WorkloadKey workload = 0;
+  /// The larger of the declared and the estimated size.
+  Resources need;
+  /// Position among the tasks of its customer and class.
+  Millis order;
+};
+
+/// The waiting tasks. Tasks of one customer, class and size form a group; all
+/// groups of one size are blocked together after a worker for that size was not
+/// found, until a worker grows enough. A search for the next task therefore
+/// never visits tasks that cannot start.
+class PendingQueue {
+ public:
+  explicit PendingQueue(const CustomerOrder& order) : m_order(order) {}
+
+  /// Returns the customer's position, adding it if needed.
+  CustomerIndex InternCustomer(const std::string& name);
+  CustomerState& customer(CustomerIndex index) { return m_customers[index]; }
+  const CustomerState& customer(CustomerIndex index) const {
+    return m_customers[index];
+  }
+  CustomerIndex customer_count() const {
+    return static_cast<CustomerIndex>(m_customers.size());
+  }
+
+  void Add(const PendingEntry& entry);
+  bool Remove(TaskId task);
+  const PendingEntry* Find(TaskId task) const;
+  size_t size() const { return m_entries.size(); }
+
+  /// Returns the task whose turn it is within a class, or null if none of the
+  /// class may start now.
+  const PendingEntry* Next(TaskClass task_class, const Resources& total);
+
+  /// Blocks all tasks of this size until UnblockFitting() reports room.
+  void BlockSize(const Resources& need);
+
+  /// Unblocks the sizes that fit into the amount.
+  void UnblockFitting(const Resources& usable);
+
+  /// Blocks the task's group until UnblockCustomer().
+  void BlockOnQuota(const PendingEntry& entry);
+  void UnblockCustomer(CustomerIndex customer);
+
+  /// Visits the first task of each group of a class that waits for a worker,
+  /// in no particular order of customers.
+  void VisitBlocked(
+      TaskClass task_class,
+      const std::function<void(const PendingEntry&)>& visit) const;
+
+  /// Returns the tasks of a class in queue order by customer, at most `limit`.
+  std::vector<TaskId> BlockedTasks(TaskClass task_class, size_t limit) const;
+
+  /// Returns the waiting tasks of a customer or a workload.
+  std::vector<TaskId> TasksOfCustomer(CustomerIndex customer) const;
+  std::vector<TaskId> TasksOfWorkload(WorkloadKey workload) const;
+
+  /// Returns the first task of every group; all tasks of a group have the same
+  /// customer and declared size.
+  std::vector<TaskId> GroupHeads() const;
+
+  /// Returns all tasks of the group of a task.
+  std::vector<TaskId> TasksOfGroup(TaskId task) const;
+
+  size_t CountOfClass(TaskClass task_class) const {
+    return m_class_counts[static_cast<size_t>(task_class)];
+  }
+  size_t blocked_size_count() const { return m_blocked_sizes.size(); }
+
+ private:
+  using SizeKey = std::tuple<int64_t, int64_t, int64_t>;
+  using GroupKey = std::tuple<TaskClass, CustomerIndex, SizeKey, SizeKey>;
+  using TaskOrder = std::pair<Millis, TaskId>;
+
+  struct SizeState {
+    Resources need;
+    bool is_blocked = false;
+    size_t group_count = 0;
+  };
+  struct Group {
+    GroupKey key;
+    uint64_t sequence = 0;
+    SizeState* size = nullptr;
+    bool is_over_quota = false;
+    std::set<TaskOrder> tasks;
+
+    bool IsStartable() const { return !size->is_blocked && !is_over_quota; }
+  };
+  // Groups of one customer and class, ordered by their first task.
+  using GroupOrder = std::map<std::tuple<Millis, uint64_t>, Group*>;
+  struct CustomerClass {
+    GroupOrder groups;
+    // Value of m_unblock_count at which no group was startable.
+    uint64_t idle_since = ~uint64_t{0};
+  };
+  struct Waiting {
+    PendingEntry entry;
+    Group* group = nullptr;
+  };
+
+  static SizeKey KeyOf(const Resources& size) {
+    return {size.cpu_millicores, size.memory_mib, size.accelerators};
+  }
+
+  Group& GroupFor(const PendingEntry& entry);
+  CustomerClass& ClassOf(const Group& group);
+  /// Moves a group to the place its first task gives it, or removes it.
+  void Reorder(Group& group, Millis old_first);
+  /// Returns the first startable group, or null.
+  Group* FirstStartable(CustomerClass& customer_class) const;
+
+  const CustomerOrder& m_order;
+  std::vector<CustomerState> m_customers;
+  std::unordered_map<std::string, CustomerIndex> m_customer_by_name;
+  std::array<std::vector<CustomerClass>, kTaskClassCount> m_classes;
+  std::array<std::set<CustomerIndex>, kTaskClassCount> m_waiting_customers;
+  std::array<size_t, kTaskClassCount> m_class_counts{};
+  std::unordered_map<TaskId, Waiting> m_entries;
+  std::map<GroupKey, std::unique_ptr<Group>> m_groups;
+  std::map<SizeKey, SizeState> m_sizes;
+  std::vector<SizeState*> m_blocked_sizes;
+  std::unordered_map<WorkloadKey, std::unordered_set<TaskId>> m_workloads;
+  uint64_t m_next_sequence = 0;
+  uint64_t m_unblock_count = 0;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_PLACEMENT_PENDING_QUEUE_H_
--- /dev/null
+++ b/source/placement/scheduler_policies.cc
@@ -0,0 +1,30 @@
+#include "source/placement/scheduler_policies.h"
+
+#include "source/placement/packing_placement.h"
+
+namespace fulmarrock {
+
+SchedulerPolicies MakeSelectedPolicies() {
+  SchedulerPolicies policies;
+  policies.order = std::make_unique<WeightedFairOrder>();
+  policies.estimator = std::make_unique<MeasuredEstimator>();
+  policies.interference = std::make_unique<PairwiseInterferenceModel>();
+  policies.failures = std::make_unique<DistinctFailureAttribution>();
+  policies.placement = std::make_unique<PackingPlacement>(
+      *policies.interference, *policies.failures);
+  policies.eviction = std::make_unique<CheapestEviction>(*policies.estimator);
+  return policies;
+}
+
+SchedulerPolicies MakeBaselinePolicies() {
+  SchedulerPolicies policies;
+  policies.order = std::make_unique<FifoOrder>();
+  policies.estimator = std::make_unique<DeclaredEstimator>();
+  policies.interference = std::make_unique<NoInterferenceModel>();
+  policies.failures = std::make_unique<NoAttribution>();
+  policies.placement = std::make_unique<FirstFitPlacement>();
+  policies.eviction = std::make_unique<NewestFirstEviction>();
+  return policies;
+}
+
+}  // namespace fulmarrock
