--- a/source/placement/fair_scheduler.cc
+++ b/source/placement/fair_scheduler.cc
@@ -367,7 +367,7 @@
 void FairScheduler::PlaceClaimed(size_t limit,
                                  Millis now,
                                  std::vector<Placement>& out) {
-  for (const Claim& claim : m_state->claims.Ready()) {
+  for (const Reservation& claim : m_state->claims.Ready()) {
     if (out.size() >= limit)
       return;
     const PendingEntry* entry = m_state->queue.Find(claim.task);
@@ -660,7 +660,7 @@
                                  {"is_over_quota", customer.is_over_quota}});
   }
   dump["claims"] = nlohmann::json::array();
-  for (const Claim& claim : m_state->claims.All()) {
+  for (const Reservation& claim : m_state->claims.All()) {
     const std::string node =
         claim.worker ? m_state->cluster.worker(*claim.worker).info.node : "";
     dump["claims"].push_back({{"task", ToString(claim.task)},
--- a/source/placement/fair_scheduler.h
+++ b/source/placement/fair_scheduler.h
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "source/placement/bounded_map.h"
-#include "source/placement/claim_table.h"
 #include "source/placement/cluster.h"
 #include "source/placement/overload_tracker.h"
 #include "source/placement/pending_queue.h"
+#include "source/placement/reservation_table.h"
 #include "source/placement/scheduler.h"
 #include "source/placement/scheduler_policies.h"
 
@@ -57,7 +57,7 @@
     SchedulerPolicies policies;
     PendingQueue queue;
     Cluster cluster;
-    ClaimTable claims;
+    ReservationTable claims;
     OverloadTracker overloads;
     Configuration configuration;
     /// Waiting tasks not yet checked for being placeable.
--- a/source/placement/claim_table.cc
+++ b/source/placement/reservation_table.cc
@@ -1,4 +1,4 @@
-#include "source/placement/claim_table.h"
+#include "source/placement/reservation_table.h"
 
 #include <algorithm>
 #include <tuple>
@@ -11,14 +11,14 @@
 
 }  // namespace
 
-void ClaimTable::Add(const PendingEntry& entry,
-                     std::optional<WorkerIndex> worker,
-                     Millis now) {
+void ReservationTable::Add(const PendingEntry& entry,
+                           std::optional<WorkerIndex> worker,
+                           Millis now) {
   Remove(entry.task.task);
   const Resources& declared = entry.task.spec->resources;
   m_claims.emplace(entry.task.task,
-                   Claim{entry.task.task, worker, entry.customer,
-                         entry.task_class, entry.need, declared, now});
+                   Reservation{entry.task.task, worker, entry.customer,
+                               entry.task_class, entry.need, declared, now});
   const auto index = static_cast<size_t>(entry.task_class);
   m_queue.customer(entry.customer).claimed[index] += declared;
   if (!worker) {
@@ -29,11 +29,11 @@
   m_cluster.AddClaim(*worker, entry.need);
 }
 
-void ClaimTable::Remove(TaskId task) {
+void ReservationTable::Remove(TaskId task) {
   const auto it = m_claims.find(task);
   if (it == m_claims.end())
     return;
-  const Claim claim = it->second;
+  const Reservation claim = it->second;
   m_claims.erase(it);
   const auto index = static_cast<size_t>(claim.task_class);
   m_queue.customer(claim.customer).claimed[index] -= claim.declared;
@@ -46,36 +46,36 @@
   m_cluster.RemoveClaim(*claim.worker, claim.need);
 }
 
-const Claim* ClaimTable::Find(TaskId task) const {
+const Reservation* ReservationTable::Find(TaskId task) const {
   const auto it = m_claims.find(task);
   return it == m_claims.end() ? nullptr : &it->second;
 }
 
-bool ClaimTable::HasWorker(TaskId task) const {
-  const Claim* claim = Find(task);
+bool ReservationTable::HasWorker(TaskId task) const {
+  const Reservation* claim = Find(task);
   return claim && claim->worker;
 }
 
-bool ClaimTable::FitsQuota(const PendingEntry& entry) const {
+bool ReservationTable::FitsQuota(const PendingEntry& entry) const {
   const CustomerState& customer = m_queue.customer(entry.customer);
   Resources wanted = customer.declared + entry.task.spec->resources;
   for (size_t i = 0; i <= static_cast<size_t>(entry.task_class); ++i)
     wanted += customer.claimed[i];
-  const Claim* own = Find(entry.task.task);
+  const Reservation* own = Find(entry.task.task);
   if (own)
     wanted -= own->declared;
   return wanted.FitsIn(customer.quota);
 }
 
-void ClaimTable::RemoveOnWorker(WorkerIndex worker) {
-  for (const Claim& claim : All()) {
+void ReservationTable::RemoveOnWorker(WorkerIndex worker) {
+  for (const Reservation& claim : All()) {
     if (claim.worker == worker)
       Remove(claim.task);
   }
 }
 
-void ClaimTable::RemoveStale(Millis now) {
-  for (const Claim& claim : All()) {
+void ReservationTable::RemoveStale(Millis now) {
+  for (const Reservation& claim : All()) {
     if (!claim.worker)
       continue;
     const bool is_late = claim.task_class == TaskClass::kUrgent &&
@@ -85,30 +85,30 @@
   }
 }
 
-std::vector<Claim> ClaimTable::Ready() const {
-  std::vector<Claim> ready;
+std::vector<Reservation> ReservationTable::Ready() const {
+  std::vector<Reservation> ready;
   for (const auto& [task, claim] : m_claims) {
     if (claim.worker &&
         claim.need.FitsIn(m_cluster.worker(*claim.worker).Free()))
       ready.push_back(claim);
   }
   std::stable_sort(ready.begin(), ready.end(),
-                   [](const Claim& left, const Claim& right) {
+                   [](const Reservation& left, const Reservation& right) {
                      return std::tie(left.task_class, left.made) <
                             std::tie(right.task_class, right.made);
                    });
   return ready;
 }
 
-std::vector<Claim> ClaimTable::All() const {
-  std::vector<Claim> claims;
+std::vector<Reservation> ReservationTable::All() const {
+  std::vector<Reservation> claims;
   claims.reserve(m_claims.size());
   for (const auto& [task, claim] : m_claims)
     claims.push_back(claim);
   return claims;
 }
 
-bool ClaimTable::IsHopeless(const Claim& claim) const {
+bool ReservationTable::IsHopeless(const Reservation& claim) const {
   const Worker& worker = m_cluster.worker(*claim.worker);
   if (!worker.IsOpen())
     return true;
--- a/source/placement/claim_table.h
+++ b/source/placement/reservation_table.h
@@ -1,5 +1,5 @@
-#ifndef SOURCE_PLACEMENT_CLAIM_TABLE_H_
-#define SOURCE_PLACEMENT_CLAIM_TABLE_H_
+#ifndef SOURCE_PLACEMENT_RESERVATION_TABLE_H_
+#define SOURCE_PLACEMENT_RESERVATION_TABLE_H_
 
 #include <array>
 #include <cstddef>
@@ -16,7 +16,7 @@
 
 /// A waiting task and what is held for it: a part of its customer's quota and,
 /// if a worker is named, capacity of that worker.
-struct Claim {
+struct Reservation {
   TaskId task;
   std::optional<WorkerIndex> worker;
   CustomerIndex customer = 0;
@@ -29,10 +29,10 @@
 /// Claims of waiting tasks on workers and quotas. What becomes free there is
 /// not given to others, so that a large task collects enough and an urgent one
 /// gets what was evicted for it.
-class ClaimTable {
+class ReservationTable {
  public:
   /// Both references outlive the table.
-  ClaimTable(Cluster& cluster, PendingQueue& queue)
+  ReservationTable(Cluster& cluster, PendingQueue& queue)
       : m_cluster(cluster), m_queue(queue) {}
 
   /// Adds a claim, or replaces the one the task has.
@@ -44,7 +44,7 @@
   void Remove(TaskId task);
 
   /// Returns the claim of a task, or null.
-  const Claim* Find(TaskId task) const;
+  const Reservation* Find(TaskId task) const;
   bool HasWorker(TaskId task) const;
 
   /// Whether quota is held for a task of this customer and class without a
@@ -70,21 +70,21 @@
   void RemoveStale(Millis now);
 
   /// Returns the claims whose worker has room now, urgent ones first.
-  std::vector<Claim> Ready() const;
+  std::vector<Reservation> Ready() const;
 
   /// Returns all claims, ordered by task.
-  std::vector<Claim> All() const;
+  std::vector<Reservation> All() const;
 
  private:
-  bool IsHopeless(const Claim& claim) const;
+  bool IsHopeless(const Reservation& claim) const;
 
   Cluster& m_cluster;
   PendingQueue& m_queue;
-  std::map<TaskId, Claim> m_claims;
+  std::map<TaskId, Reservation> m_claims;
   std::set<std::pair<CustomerIndex, TaskClass>> m_quota_claims;
   std::array<size_t, kTaskClassCount> m_counts{};
 };
 
 }  // namespace fulmarrock
 
-#endif  // SOURCE_PLACEMENT_CLAIM_TABLE_H_
+#endif  // SOURCE_PLACEMENT_RESERVATION_TABLE_H_
