--- a/source/agent/task_runner.cc
+++ b/source/agent/task_runner.cc
@@ -36,7 +36,9 @@
       m_transport(transport),
       m_random(random),
       m_worker(worker),
-      m_counters(counters) {}
+      m_counters(counters) {
+  m_worker.StopAll();
+}
 
 void TaskRunner::OnMessage(const NodeId& from, const Message& message) {
   if (const auto* announced = std::get_if<WorkerAnnounceAck>(&message)) {
@@ -152,8 +154,10 @@
       StopLease(lease.task, it->second, /*with_checkpoint=*/false);
     }
   }
-  if (HasLease())
-    ResumeAll();
+  if (!HasLease())
+    return;
+  m_worker.ExtendLeases(m_lease_until - m_clock.Now());
+  ResumeAll();
 }
 
 void TaskRunner::OnGrants(const GrantBatch& batch) {
--- a/tests/support/fake_worker.h
+++ b/tests/support/fake_worker.h
@@ -30,6 +30,9 @@
   void SetListener(WorkerListener* listener) { m_listener = listener; }
   void SetStopTime(Millis stop_time) { m_stop_time = stop_time; }
 
+  void StopAll() override { m_tasks.clear(); }
+  /// The end of leases after the loss of an agent is set by LoseAgent().
+  void ExtendLeases(Millis) override {}
   void Start(const TaskGrant& grant) override;
   void Checkpoint(TaskId task) override;
   void Stop(TaskId task) override;
