--- /dev/null
+++ b/tests/support/scenario_cluster.h
@@ -0,0 +1,135 @@
+#ifndef TESTS_SUPPORT_SCENARIO_CLUSTER_H_
+#define TESTS_SUPPORT_SCENARIO_CLUSTER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "source/agent/agent_role.h"
+#include "source/agent/request_server.h"
+#include "source/agent/task_runner.h"
+#include "source/base/seeded_random.h"
+#include "source/control/control_member.h"
+#include "source/entry/entry_role.h"
+#include "tests/interactive/fake_target.h"
+#include "tests/support/fake_network.h"
+#include "tests/support/fake_storage.h"
+#include "tests/support/manual_clock.h"
+#include "tests/support/scenario_worker.h"
+
+namespace fulmarrock::test {
+
+/// What a scenario says of an agent.
+struct AgentDescription {
+  NodeId node;
+  std::string data_centre = "dc-a";
+  std::string rack = "r1";
+  /// Service of the target beside the agent; empty without a target.
+  std::string service;
+  std::vector<std::string> affinities;
+  int32_t slots = 8;
+  /// Capacity of the worker beside the agent; zero without a worker.
+  Resources capacity;
+};
+
+/// A caller's request and its answer, if there is one.
+struct CallerRecord {
+  CallerRequest request;
+  NodeId entry;
+  std::optional<CallerReply> reply;
+};
+
+/// Runs the shipped roles in one process on a manual clock, over a network,
+/// disks, targets and workers that fail on request. Checks after every tick
+/// what must hold at all times.
+class ScenarioCluster {
+ public:
+  explicit ScenarioCluster(uint64_t seed);
+  ~ScenarioCluster();
+
+  /// Starts the founding members of the control group.
+  void StartControl(const std::vector<NodeId>& members);
+  /// Starts a member with an empty disk that is to be added to the group.
+  void StartNewMember(const NodeId& node);
+  void StartEntry(const NodeId& node, const std::string& data_centre);
+  void StartAgent(const AgentDescription& description);
+
+  /// Ends a process at once. An agent's target and worker go on.
+  void Kill(const NodeId& node);
+  /// The whole instance of a process fails, with its target, worker and all
+  /// bytes that were not synced.
+  void Crash(const NodeId& node);
+  /// Loses the disk of a stopped member.
+  void WipeDisk(const NodeId& node);
+  /// Starts a killed process under a new incarnation.
+  void Restart(const NodeId& node);
+  void BeginShutdown(const NodeId& node);
+
+  /// Sends a request through an entry. Its name is the request's body.
+  void Submit(const std::string& name,
+              const NodeId& entry,
+              CallerRequest request);
+
+  /// Advances by whole ticks. Throws ScenarioError when an invariant breaks.
+  void Advance(Millis duration);
+
+  /// The member that leads, or null.
+  ControlMember* Leader();
+  ControlMember& MemberAt(const NodeId& node);
+  FakeStorage& DiskOf(const NodeId& node);
+  FakeTarget& TargetOf(const NodeId& node);
+  ScenarioWorker& WorkerOf(const NodeId& node);
+  Role& RoleOf(const NodeId& node);
+  EntryRole& EntryAt(const NodeId& node);
+  bool IsRunning(const NodeId& node) const;
+
+  const CallerRecord& RequestNamed(const std::string& name) const;
+  int ExecutionsOf(const std::string& request) const;
+  int TaskStarts(TaskId task) const;
+  NodeId ExecutingWorker(TaskId task) const;
+
+  FakeNetwork& network() { return m_network; }
+  ManualClock& clock() { return m_clock; }
+  /// The last messages and events, for a failing scenario.
+  const std::deque<std::string>& recent_events() const { return m_events; }
+  void Note(std::string event);
+
+ private:
+  class Sink;
+  struct ControlNode;
+  struct EntryNode;
+  struct AgentNode;
+
+  void OpenMember(ControlNode& node);
+  void OpenEntry(EntryNode& node);
+  void OpenAgent(AgentNode& node);
+  std::vector<NodeId> ControlIds() const;
+  std::vector<NodeId> EntryIds() const;
+  void Tick();
+  void CheckInvariants();
+  void CheckTasks();
+  void CheckRequests();
+  void CheckVersions();
+  Incarnation NextIncarnation() { return ++m_last_incarnation; }
+
+  ManualClock m_clock;
+  SeededRandom m_random;
+  FakeNetwork m_network;
+  Incarnation m_last_incarnation = 0;
+  std::map<NodeId, std::unique_ptr<ControlNode>> m_members;
+  std::map<NodeId, std::unique_ptr<EntryNode>> m_entries;
+  std::map<NodeId, std::unique_ptr<AgentNode>> m_agents;
+  std::map<std::string, CallerRecord> m_requests;
+  std::map<std::pair<NodeId, RequestId>, std::string> m_request_names;
+  std::map<NodeId, uint64_t> m_versions;
+  std::deque<std::string> m_events;
+};
+
+}  // namespace fulmarrock::test
+
+#endif  // TESTS_SUPPORT_SCENARIO_CLUSTER_H_
