--- a/tests/scenario/scenario_test.cc
+++ b/tests/scenario/scenario_test.cc
@@ -59,5 +59,50 @@
   }
 }
 
+struct BrokenRule {
+  const char* script;
+  /// Inserted before the first line that starts with `before`.
+  const char* before;
+  const char* step;
+  /// Part of the failure that the invariant must report.
+  const char* failure;
+};
+
+// Guards against invariants that cannot fail: each is broken on purpose in a
+// fake, and the same script that passes otherwise must then fail.
+TEST_CASE("every invariant notices when its rule is broken") {
+  const BrokenRule rules[] = {
+      {"batch/agent_dies.scn", "kill w1", "worker w1 ignore-leases",
+       "executes on"},
+      {"batch/cancellation_wave.scn", "cancel", "worker w1 ignore-stops",
+       "holds"},
+      {"request/target_dies_unsafe.scn", "request",
+       "target a1 fault=run-twice\ntarget a2 fault=run-twice", "ran 2 times"},
+      {"request/preview.scn", "request",
+       "target a1 fault=foreign-answer\ntarget a2 fault=foreign-answer",
+       "got the answer"},
+      {"request/preview.scn", "request",
+       "target a1 fault=cut-answer\ntarget a2 fault=cut-answer",
+       "got the answer"},
+      {"request/preview.scn", "request",
+       "target a1 crash fault=run-refused\n"
+       "target a2 crash fault=run-refused",
+       "reported as not run but ran"}};
+  for (const BrokenRule& rule : rules) {
+    DYNAMIC_SECTION(rule.script << " with " << rule.step) {
+      std::string script =
+          ReadFile(fs::path(FULMARROCK_TEST_DATA) / rule.script);
+      const size_t place = script.find(std::string("\n") + rule.before);
+      REQUIRE(place != std::string::npos);
+      script.insert(place + 1, std::string(rule.step) + "\n");
+      ScenarioRunner runner(FULMARROCK_TEST_DATA, kSeed);
+      const ScenarioResult result = runner.Run(script);
+      CHECK_FALSE(result.is_success);
+      INFO(result.failure);
+      CHECK(result.failure.find(rule.failure) != std::string::npos);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace fulmarrock::test
--- a/tests/support/scenario_runner.cc
+++ b/tests/support/scenario_runner.cc
@@ -39,6 +39,18 @@
   throw ScenarioError("\"" + name + "\" is not a request class");
 }
 
+FakeTarget::Fault FaultNamed(const std::string& name) {
+  static const std::map<std::string, FakeTarget::Fault> kFaults = {
+      {"run-twice", FakeTarget::Fault::kRunTwice},
+      {"foreign-answer", FakeTarget::Fault::kForeignAnswer},
+      {"cut-answer", FakeTarget::Fault::kCutAnswer},
+      {"run-refused", FakeTarget::Fault::kRunRefused}};
+  const auto it = kFaults.find(name);
+  if (it == kFaults.end())
+    throw ScenarioError("\"" + name + "\" is not a fault");
+  return it->second;
+}
+
 std::vector<std::string> SplitAtCommas(const std::string& text) {
   std::vector<std::string> parts;
   size_t begin = 0;
@@ -326,6 +338,8 @@
     target.hangs = true;
   if (step.HasWord("answer"))
     target.hangs = false;
+  if (!step.Option("fault").empty())
+    target.fault = FaultNamed(step.Option("fault"));
   target.service_time =
       Millis(step.NumberOption("time", target.service_time.count()));
   target.status =
@@ -340,8 +354,11 @@
     worker.FailEverything(false);
   else if (step.HasWord("ignore-leases"))
     worker.IgnoreLeases();
+  else if (step.HasWord("ignore-stops"))
+    worker.IgnoreStops();
   else
-    throw ScenarioError("use worker NODE fail, work or ignore-leases");
+    throw ScenarioError(
+        "use worker NODE fail, work, ignore-leases or ignore-stops");
 }
 
 void ScenarioRunner::SetDisk(const ScenarioStep& step) {
--- a/tests/support/scenario_worker.cc
+++ b/tests/support/scenario_worker.cc
@@ -51,7 +51,8 @@
   if (it == m_tasks.end())
     return;
   const Millis done = it->second.done;
-  m_tasks.erase(it);
+  if (!m_ignores_stops)
+    m_tasks.erase(it);
   Report(task, TaskEventKind::kStopped, "", done);
 }
 
--- a/tests/support/scenario_worker.h
+++ b/tests/support/scenario_worker.h
@@ -38,8 +38,10 @@
   /// Makes every task that starts from now on fail at once.
   void FailEverything(bool fails) { m_fails_everything = fails; }
 
-  /// Breaks the lease rule on purpose, to prove that the oracle notices.
+  /// Break rules on purpose, to prove that the oracle notices: tasks run on
+  /// after their leases, or hold their resources after they were stopped.
   void IgnoreLeases() { m_ignores_leases = true; }
+  void IgnoreStops() { m_ignores_stops = true; }
 
   /// Whether the task makes progress here now.
   bool IsExecuting(TaskId task) const;
@@ -72,6 +74,7 @@
   int m_throttle = 100;
   bool m_fails_everything = false;
   bool m_ignores_leases = false;
+  bool m_ignores_stops = false;
 };
 
 }  // namespace fulmarrock::test
