Placement: Look for room only on workers that grew

With a full cluster and 10,000 tasks waiting, every release unblocked all sizes that fit the freed amount, and each of them searched the whole index before it was blocked again. A blocked size now keeps the workers that grew since; only these are tried, and a placement that uses the room up blocks the size again without a search.

--- a/source/placement/cluster.cc
+++ b/source/placement/cluster.cc
@@ -189,6 +189,7 @@
   worker.evictable -= task.charged;
   worker.evicting += task.charged;
   UpdateIndexes(task.worker);
+  NotifyGrowth(task.worker);
 }
 
 void Cluster::AddClaim(WorkerIndex worker, const Resources& need) {
@@ -292,7 +293,7 @@
 }
 
 void Cluster::NotifyGrowth(WorkerIndex index) {
-  m_growth_listener(m_workers[index]);
+  m_growth_listener(index, m_workers[index]);
 }
 
 uint32_t Cluster::Intern(std::unordered_map<std::string, uint32_t>& names,
--- a/source/placement/cluster.h
+++ b/source/placement/cluster.h
@@ -72,8 +72,8 @@
 /// The workers and the tasks accounted on them, with the indexes over both.
 class Cluster {
  public:
-  /// Called with a worker whose usable free capacity has grown.
-  using GrowthListener = std::function<void(const Worker&)>;
+  /// Called with a worker whose usable capacity may have grown.
+  using GrowthListener = std::function<void(WorkerIndex, const Worker& worker)>;
 
   explicit Cluster(GrowthListener listener)
       : m_growth_listener(std::move(listener)) {}
--- a/source/placement/fair_scheduler.cc
+++ b/source/placement/fair_scheduler.cc
@@ -60,9 +60,9 @@
 FairScheduler::State::State(SchedulerPolicies selected)
     : policies(std::move(selected)),
       queue(*policies.order),
-      cluster([this](const Worker& worker) {
+      cluster([this](WorkerIndex index, const Worker& worker) {
         if (worker.IsOpen())
-          queue.UnblockFitting(worker.Usable());
+          queue.OnGrowth(index, worker.Usable());
       }),
       claims(cluster, queue) {}
 
@@ -361,6 +361,7 @@
   // never appears to be free.
   Account(entry, worker, now);
   m_state->claims.Remove(task);
+  m_state->queue.OnShrink(worker, m_state->cluster.worker(worker).Usable());
   out.push_back({task, m_state->cluster.worker(worker).info.node});
 }
 
@@ -413,9 +414,13 @@
   const std::optional<WorkerIndex> probe = ChooseProbe(entry, now);
   if (probe)
     return probe;
-  return m_state->policies.placement->Choose(
-      m_state->cluster,
-      {entry.task.task, entry.task.spec, entry.workload, entry.need, now});
+  const PlacementRequest request{entry.task.task,
+                                 entry.task.spec,
+                                 entry.workload,
+                                 entry.need,
+                                 now,
+                                 m_state->queue.HintsFor(entry.need)};
+  return m_state->policies.placement->Choose(m_state->cluster, request);
 }
 
 std::optional<WorkerIndex> FairScheduler::ChooseProbe(const PendingEntry& entry,
@@ -437,7 +442,7 @@
 
 void FairScheduler::UnblockForProbes(Millis now) {
   for (const WorkerIndex index : m_state->policies.failures->DueProbes(now))
-    m_state->queue.UnblockFitting(m_state->cluster.worker(index).Usable());
+    m_state->queue.OnGrowth(index, m_state->cluster.worker(index).Usable());
 }
 
 void FairScheduler::ApplyQuarantine() {
--- a/source/placement/packing_placement.cc
+++ b/source/placement/packing_placement.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace fulmarrock {
 namespace {
@@ -36,16 +37,7 @@
 std::optional<WorkerIndex> PackingPlacement::Choose(
     const Cluster& cluster,
     const PlacementRequest& request) {
-  const uint32_t data_centres = cluster.data_centre_count();
-  if (data_centres == 0)
-    return std::nullopt;
-  m_candidates.clear();
-  const size_t share = std::max(kCandidates / data_centres, kMinPerDataCentre);
-  ++m_rotation;
-  for (uint32_t i = 0; i < data_centres; ++i)
-    cluster.free_index(i).Collect(request.need, share, m_rotation,
-                                  m_candidates);
-
+  CollectCandidates(cluster, request);
   const uint64_t key =
       Cluster::SpreadKey(*request.spec, request.task.job, request.workload);
   const double spread_weight = SpreadWeight(*request.spec);
@@ -85,6 +77,26 @@
   return best;
 }
 
+void PackingPlacement::CollectCandidates(const Cluster& cluster,
+                                         const PlacementRequest& request) {
+  m_candidates.clear();
+  if (!request.hints.empty()) {
+    std::copy_if(request.hints.begin(), request.hints.end(),
+                 std::back_inserter(m_candidates), [&](WorkerIndex index) {
+                   return HasRoom(cluster.worker(index), request.need);
+                 });
+    return;
+  }
+  const uint32_t data_centres = cluster.data_centre_count();
+  if (data_centres == 0)
+    return;
+  const size_t share = std::max(kCandidates / data_centres, kMinPerDataCentre);
+  ++m_rotation;
+  for (uint32_t i = 0; i < data_centres; ++i)
+    cluster.free_index(i).Collect(request.need, share, m_rotation,
+                                  m_candidates);
+}
+
 double PackingPlacement::PackingScore(const Worker& worker,
                                       const Resources& need) const {
   const Resources left = worker.Usable() - need;
--- a/source/placement/packing_placement.h
+++ b/source/placement/packing_placement.h
@@ -25,6 +25,8 @@
                                     const PlacementRequest& request) override;
 
  private:
+  void CollectCandidates(const Cluster& cluster,
+                         const PlacementRequest& request);
   double PackingScore(const Worker& worker, const Resources& need) const;
   double InterferenceScore(const Worker& worker,
                            const PlacementRequest& request) const;
--- a/source/placement/pending_queue.cc
+++ b/source/placement/pending_queue.cc
@@ -53,6 +53,8 @@
 
 const PendingEntry* PendingQueue::Next(TaskClass task_class,
                                        const Resources& total) {
+  if (m_blocked_sizes.size() == m_sizes.size())
+    return nullptr;
   const auto index = static_cast<size_t>(task_class);
   const Group* best = nullptr;
   double best_rank = 0;
@@ -78,22 +80,57 @@
   const auto it = m_sizes.find(KeyOf(need));
   if (it == m_sizes.end() || it->second.is_blocked)
     return;
-  it->second.is_blocked = true;
-  m_blocked_sizes.push_back(&it->second);
+  SizeState& size = it->second;
+  if (!size.hints.empty()) {
+    size.hints.clear();
+    std::erase(m_hinted_sizes, &size);
+  }
+  size.is_blocked = true;
+  m_blocked_sizes.push_back(&size);
 }
 
-void PendingQueue::UnblockFitting(const Resources& usable) {
+void PendingQueue::OnGrowth(WorkerIndex worker, const Resources& usable) {
+  for (SizeState* size : m_hinted_sizes) {
+    if (size->need.FitsIn(usable) &&
+        std::find(size->hints.begin(), size->hints.end(), worker) ==
+            size->hints.end())
+      size->hints.push_back(worker);
+  }
   const auto first = std::partition(
       m_blocked_sizes.begin(), m_blocked_sizes.end(),
       [&](const SizeState* size) { return !size->need.FitsIn(usable); });
   if (first == m_blocked_sizes.end())
     return;
-  for (auto it = first; it != m_blocked_sizes.end(); ++it)
+  for (auto it = first; it != m_blocked_sizes.end(); ++it) {
     (*it)->is_blocked = false;
+    (*it)->hints.push_back(worker);
+    m_hinted_sizes.push_back(*it);
+  }
   m_blocked_sizes.erase(first, m_blocked_sizes.end());
   ++m_unblock_count;
 }
 
+void PendingQueue::OnShrink(WorkerIndex worker, const Resources& usable) {
+  std::erase_if(m_hinted_sizes, [&](SizeState* size) {
+    if (size->need.FitsIn(usable))
+      return false;
+    std::erase(size->hints, worker);
+    if (!size->hints.empty())
+      return false;
+    size->is_blocked = true;
+    m_blocked_sizes.push_back(size);
+    return true;
+  });
+}
+
+std::span<const WorkerIndex> PendingQueue::HintsFor(
+    const Resources& need) const {
+  const auto it = m_sizes.find(KeyOf(need));
+  if (it == m_sizes.end())
+    return {};
+  return it->second.hints;
+}
+
 void PendingQueue::BlockOnQuota(const PendingEntry& entry) {
   m_entries.find(entry.task.task)->second.group->is_over_quota = true;
   m_customers[entry.customer].is_over_quota = true;
@@ -219,6 +256,7 @@
   SizeState& size = *group.size;
   if (--size.group_count == 0) {
     std::erase(m_blocked_sizes, &size);
+    std::erase(m_hinted_sizes, &size);
     m_sizes.erase(KeyOf(size.need));
   }
   m_groups.erase(GroupKey(group.key));
--- a/source/placement/pending_queue.h
+++ b/source/placement/pending_queue.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <tuple>
 #include <unordered_map>
@@ -16,6 +17,7 @@
 #include <vector>
 
 #include "source/placement/customer_order.h"
+#include "source/placement/free_index.h"
 #include "source/placement/scheduler.h"
 #include "source/placement/task_class.h"
 #include "source/placement/workload_key.h"
@@ -79,11 +81,19 @@
   /// class may start now.
   const PendingEntry* Next(TaskClass task_class, const Resources& total);
 
-  /// Blocks all tasks of this size until UnblockFitting() reports room.
+  /// Blocks all tasks of this size until OnGrowth() reports room.
   void BlockSize(const Resources& need);
 
-  /// Unblocks the sizes that fit into the amount.
-  void UnblockFitting(const Resources& usable);
+  /// Tells that a worker's usable capacity has grown. Unblocks the sizes that
+  /// fit and names the worker as the place to look.
+  void OnGrowth(WorkerIndex worker, const Resources& usable);
+
+  /// Tells that a worker's usable capacity has shrunk.
+  void OnShrink(WorkerIndex worker, const Resources& usable);
+
+  /// Returns the only workers that may have room for a size because they grew
+  /// after it was blocked; empty if any worker may.
+  std::span<const WorkerIndex> HintsFor(const Resources& need) const;
 
   /// Blocks the task's group until UnblockCustomer().
   void BlockOnQuota(const PendingEntry& entry);
@@ -123,6 +133,9 @@
     Resources need;
     bool is_blocked = false;
     size_t group_count = 0;
+    // Workers that grew after the size was blocked; no other one has room.
+    // Empty for a size that was never blocked.
+    std::vector<WorkerIndex> hints;
   };
   struct Group {
     GroupKey key;
@@ -166,6 +179,8 @@
   std::map<GroupKey, std::unique_ptr<Group>> m_groups;
   std::map<SizeKey, SizeState> m_sizes;
   std::vector<SizeState*> m_blocked_sizes;
+  // Unblocked sizes with hints.
+  std::vector<SizeState*> m_hinted_sizes;
   std::unordered_map<WorkloadKey, std::unordered_set<TaskId>> m_workloads;
   uint64_t m_next_sequence = 0;
   uint64_t m_unblock_count = 0;
