Interactive: Check callers' promises under random faults

A RapidCheck state machine drives two real entries and three real agents over the fake network with loss, duplication, reordering, one-way cuts, restarts, planned stops and failing targets; an oracle checks the promises at the end. Each rule of the oracle is shown to fail when a fake breaks it.

It found one fault: a copy that ended as not run between the deadline and the next tick ended its request as "not run" while another copy was still open. Such a request is now "outcome unknown".

--- a/source/entry/request_dispatcher.cc
+++ b/source/entry/request_dispatcher.cc
@@ -212,7 +212,6 @@
     const auto it = m_jobs.find(id);
     if (it == m_jobs.end())
       continue;
-    it->second.may_have_run = true;
     EndWithoutAnswer(it->second,
                      "the deadline passed before the target answered");
   }
@@ -271,6 +270,8 @@
   // Another copy may still bring the answer, unless its time is up.
   if (!job.open_copies.empty() && m_parts.clock.Now() < job.job.give_up)
     return;
+  if (!job.open_copies.empty())
+    job.may_have_run = true;
   if (job.failed_answer) {
     Finish(job, std::move(*job.failed_answer));
     return;
--- a/tests/interactive/fake_target.h
+++ b/tests/interactive/fake_target.h
@@ -34,6 +34,8 @@
     kForeignAnswer,   ///< The answer is that of another request.
     kCutAnswer,       ///< The end of the answer is missing.
     kRunRefused,      ///< Executes requests that it reports as not started.
+    kNoRun,           ///< Answers without executing.
+    kCountTwice,      ///< Works on each request in two slots.
     kRunWhenLeaving,  ///< Executes its last request again when told to.
   };
 
@@ -47,7 +49,8 @@
       m_pending.back().response.kind = TargetResponse::Kind::kNotStarted;
       return;
     }
-    Log(request);
+    if (fault != Fault::kNoRun)
+      Log(request);
     if (fault == Fault::kRunTwice)
       Log(request);
     TargetResponse response;
@@ -108,9 +111,10 @@
   }
 
   int CountRunning() const {
-    return static_cast<int>(
+    const auto count =
         std::count_if(m_pending.begin(), m_pending.end(),
-                      [](const Pending& item) { return item.is_running; }));
+                      [](const Pending& item) { return item.is_running; });
+    return static_cast<int>(count) * (fault == Fault::kCountTwice ? 2 : 1);
   }
   int max_running() const { return m_max_running; }
   const std::vector<Execution>& executions() const { return m_executions; }
--- a/tests/interactive/interactive_world.h
+++ b/tests/interactive/interactive_world.h
@@ -32,7 +32,7 @@
 /// that the oracle notices.
 class RecordingSink : public CallerSink {
  public:
-  enum class Fault { kNone, kDropReply, kRepeatReply };
+  enum class Fault { kNone, kDropReply, kRepeatReply, kLateReply };
 
   explicit RecordingSink(ManualClock& clock) : m_clock(clock) {}
 
@@ -42,6 +42,8 @@
     Call& call = calls.at(index.at(id));
     call.replies.push_back(reply);
     call.answered = m_clock.Now();
+    if (fault == Fault::kLateReply)
+      call.answered += call.request.deadline;
     if (fault == Fault::kRepeatReply)
       call.replies.push_back(std::move(reply));
   }
