Net: Add clients for targets and workers, the operators' HTTP interface, stand-ins and supervisor

Agents need to reach a target and a worker over HTTP, and operators need control. Worker commands carry a session and a number, events are fetched by number, and leases are passed on in the worker's own clock. The stand-ins implement both interfaces for tests and the demo.

--- a/source/net/caller_front_end.cc
+++ b/source/net/caller_front_end.cc
@@ -1,10 +1,12 @@
 #include "source/net/caller_front_end.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "source/net/exposition.h"
 #include "source/net/json_response.h"
 
 namespace fulmarrock {
@@ -123,12 +125,19 @@
 
 Result<CallerRequest> ParseCallerRequest(HttpRequest request) {
   CallerRequest parsed;
+  if (!request.target.starts_with(kPrefix)) {
+    return MakeError(ErrorKind::kInvalidArgument,
+                     "the path is percent-encoded before the service",
+                     "send POST /v1/requests/SERVICE/PATH");
+  }
+  // The target gets the rest of the path and the query as they were sent.
   const std::string_view rest =
-      std::string_view(request.path).substr(kPrefix.size());
-  const size_t slash = rest.find('/');
-  parsed.service = rest.substr(0, slash);
-  parsed.path = slash == std::string_view::npos ? std::string_view("/")
-                                                : rest.substr(slash);
+      std::string_view(request.target).substr(kPrefix.size());
+  const size_t end = std::min(rest.find_first_of("/?"), rest.size());
+  parsed.service = rest.substr(0, end);
+  parsed.path = rest.substr(end);
+  if (!parsed.path.starts_with('/'))
+    parsed.path.insert(0, "/");
   if (parsed.service.empty() || parsed.service.size() > kMaxNameBytes) {
     return MakeError(ErrorKind::kInvalidArgument, "the path names no service",
                      "send POST /v1/requests/SERVICE/PATH");
@@ -167,44 +176,26 @@
                });
 }
 
-void CallerFrontEnd::Reply(RequestId id, CallerReply reply) {
-  const auto it = m_waiting.find(id);
-  if (it == m_waiting.end()) {
-    if (m_is_submitting)
-      m_early.emplace(id, std::move(reply));
-    return;
-  }
-  const Waiting waiting = std::move(it->second);
-  m_waiting.erase(it);
-  Finish(id, waiting, std::move(reply));
-}
-
 void CallerFrontEnd::OnRequest(HttpRequest request,
                                const HttpServer::Responder& responder) {
-  const Result<CallerRequest> parsed = ParseCallerRequest(std::move(request));
+  Result<CallerRequest> parsed = ParseCallerRequest(std::move(request));
   if (!parsed) {
     ++m_outcomes[Outcome::kRefused];
     responder.Respond(MakeRefusal(parsed.error()));
     return;
   }
-  Waiting waiting{responder, parsed->request_class, m_clock.Now()};
-  m_is_submitting = true;
-  const RequestId id = m_submit(*parsed);
-  m_is_submitting = false;
-  auto early = m_early.extract(id);
-  m_early.clear();
-  if (early.empty())
-    m_waiting.emplace(id, std::move(waiting));
-  else
-    Finish(id, waiting, std::move(early.mapped()));
+  const Waiting waiting{responder, parsed->request_class, m_clock.Now()};
+  m_waiting.emplace(m_submit(std::move(*parsed)), waiting);
 }
 
-void CallerFrontEnd::Finish(RequestId id,
-                            const Waiting& waiting,
-                            CallerReply reply) {
+void CallerFrontEnd::Reply(RequestId id, CallerReply reply) {
+  auto node = m_waiting.extract(id);
+  if (node.empty())
+    return;
+  const Waiting& waiting = node.mapped();
   ++m_outcomes[reply.outcome];
-  const Millis elapsed = m_clock.Now() - waiting.since;
-  m_latency[waiting.request_class].Record(static_cast<double>(elapsed.count()));
+  m_latency[waiting.request_class].Add(
+      static_cast<double>((m_clock.Now() - waiting.since).count()));
   HttpResponse response;
   response.status = StatusOf(reply);
   response.content_type = "application/octet-stream";
@@ -228,9 +219,10 @@
             "\n";
   }
   for (const auto& [request_class, histogram] : m_latency) {
-    histogram.AppendText(
+    AppendHistogramText(
         "fulmarrock_request_latency_ms",
-        "class=\"" + std::string(ToString(request_class)) + "\"", text);
+        "class=\"" + std::string(ToString(request_class)) + "\"", histogram,
+        text);
   }
 }
 
--- a/source/net/caller_front_end.h
+++ b/source/net/caller_front_end.h
@@ -3,13 +3,14 @@
 
 #include <functional>
 #include <map>
-#include <optional>
+#include <string>
 #include <unordered_map>
+#include <utility>
 
 #include "source/base/clock.h"
+#include "source/base/latency_histogram.h"
 #include "source/entry/caller_sink.h"
 #include "source/net/http_server.h"
-#include "source/net/latency_histogram.h"
 
 namespace fulmarrock {
 
@@ -17,8 +18,8 @@
 /// docs/interfaces/caller.md documents the headers and statuses.
 class CallerFrontEnd : public CallerSink {
  public:
-  /// Hands a request to the entry. The answer may come before it returns.
-  using Submit = std::function<RequestId(const CallerRequest&)>;
+  /// Hands a request to the entry. The answer comes after it has returned.
+  using Submit = std::function<RequestId(CallerRequest)>;
 
   CallerFrontEnd(const Clock& clock, HttpServer& server);
 
@@ -42,14 +43,10 @@
   };
 
   void OnRequest(HttpRequest request, const HttpServer::Responder& responder);
-  void Finish(RequestId id, const Waiting& waiting, CallerReply reply);
 
   const Clock& m_clock;
   Submit m_submit;
   std::unordered_map<RequestId, Waiting> m_waiting;
-  // Answers that came while the request was still being submitted.
-  std::unordered_map<RequestId, CallerReply> m_early;
-  bool m_is_submitting = false;
   std::map<RequestClass, LatencyHistogram> m_latency;
   std::map<Outcome, int64_t> m_outcomes;
 };
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -5,6 +5,8 @@
 
 #include <mutex>
 
+#include "source/net/http_message.h"
+
 namespace fulmarrock {
 namespace {
 
@@ -93,8 +95,8 @@
   transfer->done = std::move(done);
   const HttpClientRequest& kept = transfer->request;
   for (const auto& [name, value] : kept.headers) {
-    transfer->headers =
-        curl_slist_append(transfer->headers, (name + ": " + value).c_str());
+    transfer->headers = curl_slist_append(
+        transfer->headers, (name + ": " + CleanHeaderValue(value)).c_str());
   }
   // Waiting for "100 Continue" would cost a round trip.
   transfer->headers = curl_slist_append(transfer->headers, "Expect:");
--- a/source/net/http_message.cc
+++ b/source/net/http_message.cc
@@ -1,5 +1,7 @@
 #include "source/net/http_message.h"
 
+#include <algorithm>
+
 namespace fulmarrock {
 namespace {
 
@@ -20,4 +22,11 @@
   return Lookup(query, name);
 }
 
+std::string CleanHeaderValue(std::string value) {
+  std::replace_if(
+      value.begin(), value.end(),
+      [](unsigned char c) { return c < 0x20 || c == 0x7F; }, ' ');
+  return value;
+}
+
 }  // namespace fulmarrock
--- a/source/net/http_message.h
+++ b/source/net/http_message.h
@@ -15,6 +15,8 @@
   std::string method;
   /// Path without the query, percent-decoded.
   std::string path;
+  /// Path and query as they were sent.
+  std::string target;
   /// Names in lower case.
   std::map<std::string, std::string, std::less<>> headers;
   std::map<std::string, std::string, std::less<>> query;
@@ -35,6 +37,9 @@
   std::vector<std::pair<std::string, std::string>> headers;
 };
 
+/// Replaces line breaks and other control characters, which would end a header.
+std::string CleanHeaderValue(std::string value);
+
 }  // namespace fulmarrock
 
 #endif  // SOURCE_NET_HTTP_MESSAGE_H_
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -44,14 +44,6 @@
   return MHD_YES;
 }
 
-/// Header values must not contain line breaks.
-std::string CleanHeaderValue(std::string value) {
-  std::replace_if(
-      value.begin(), value.end(),
-      [](unsigned char c) { return c < 0x20 || c == 0x7F; }, ' ');
-  return value;
-}
-
 }  // namespace
 
 /// One request from its first header to the end of its answer.
@@ -61,7 +53,6 @@
   MHD_Connection* connection = nullptr;
   HttpRequest request;
   HttpResponse response;
-  bool is_too_large = false;
   bool is_dispatched = false;
   bool is_answered = false;
   bool is_suspended = false;
@@ -93,9 +84,9 @@
                              size_t* data_size,
                              void** state) {
     auto& server = *static_cast<HttpServer*>(user);
-    if (!*state)
-      return Begin(server, connection, url, method, state);
     Call& call = *static_cast<Call*>(*state);
+    if (!call.connection)
+      return Begin(server, connection, url, method, call);
     if (*data_size > 0) {
       AddBody(server, call, {data, *data_size});
       *data_size = 0;
@@ -137,31 +128,37 @@
         std::shared_ptr<Call>(std::shared_ptr<Call>(), call));
   }
 
+  /// Called for the first line of a request; returns its state.
+  static void* OnTarget(void* user, const char* target, MHD_Connection*) {
+    auto& server = *static_cast<HttpServer*>(user);
+    server.m_counters.Add("http_requests");
+    auto call = std::make_shared<Call>();
+    call->server = &server;
+    call->request.target = target;
+    server.m_calls.insert(call);
+    return call.get();
+  }
+
   static MHD_Result Begin(HttpServer& server,
                           MHD_Connection* connection,
                           const char* url,
                           const char* method,
-                          void** state) {
-    server.m_counters.Add("http_requests");
-    auto call = std::make_shared<Call>();
-    call->server = &server;
-    call->connection = connection;
-    call->request.method = method;
-    call->request.path = url;
+                          Call& call) {
+    call.connection = connection;
+    call.request.method = method;
+    call.request.path = url;
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
-                              &call->request.headers);
+                              &call.request.headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
-                              &CollectArgument, &call->request.query);
-    *state = call.get();
-    server.m_calls.insert(call);
-    const std::string length(call->request.Header("content-length"));
+                              &CollectArgument, &call.request.query);
+    const std::string length(call.request.Header("content-length"));
     if (std::strtoull(length.c_str(), nullptr, 10) <=
         server.m_options.max_body_bytes) {
       return MHD_YES;
     }
     // Answered before the body is read; the connection closes afterwards.
-    RefuseBody(server, *call);
-    return call->Queue();
+    RefuseBody(server, call);
+    return call.Queue();
   }
 
   static void AddBody(HttpServer& server, Call& call, std::string_view data) {
@@ -228,6 +225,7 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
       &Callbacks::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, m_listener.get(),
       MHD_OPTION_NOTIFY_COMPLETED, &Callbacks::OnCompleted, this,
+      MHD_OPTION_URI_LOG_CALLBACK, &Callbacks::OnTarget, this,
       MHD_OPTION_CONNECTION_LIMIT, m_options.max_connections,
       MHD_OPTION_CONNECTION_TIMEOUT, m_options.idle_timeout_seconds,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemory, MHD_OPTION_END);
--- /dev/null
+++ b/source/net/http_worker_client.h
@@ -0,0 +1,105 @@
+#ifndef SOURCE_NET_HTTP_WORKER_CLIENT_H_
+#define SOURCE_NET_HTTP_WORKER_CLIENT_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "source/agent/worker_client.h"
+#include "source/base/counters.h"
+#include "source/base/random_source.h"
+#include "source/net/event_loop.h"
+#include "source/net/http_client.h"
+
+namespace fulmarrock {
+
+/// Where and how to reach the worker beside the agent.
+struct HttpWorkerOptions {
+  /// "ip:port".
+  std::string address;
+  Millis poll_interval{50};
+  Millis request_timeout{2'000};
+  /// Time after the end of its leases at which a worker stops its tasks by
+  /// itself: one lease term.
+  Millis stop_after{12'000};
+  /// Allowance for the drift between the clocks of agent and worker.
+  Millis clock_margin{1'000};
+};
+
+/// Worker client over HTTP with JSON. Commands carry a session and a sequence
+/// number, so that a repeated one takes effect once; events are fetched by
+/// number, so that none is lost. docs/interfaces/worker.md documents both.
+class HttpWorkerClient : public WorkerClient {
+ public:
+  HttpWorkerClient(EventLoop& loop,
+                   HttpWorkerOptions options,
+                   RandomSource& random);
+  ~HttpWorkerClient() override;
+
+  /// Sets who learns of events, and starts polling.
+  void Listen(WorkerListener& listener);
+
+  void StopAll() override;
+  void ExtendLeases(Millis remaining) override;
+  void Start(const TaskGrant& grant) override;
+  void Checkpoint(TaskId task) override;
+  void Stop(TaskId task) override;
+  void Suspend(TaskId task) override;
+  void Resume(TaskId task) override;
+  void ThrottleBatch(int percent) override;
+
+  /// Whether the worker answered the last poll.
+  bool IsReachable() const { return m_is_reachable; }
+
+  const Counters& counters() const { return m_counters; }
+
+ private:
+  void Add(const nlohmann::json& command);
+  void AddForTask(const char* name, TaskId task);
+  void BeginSession();
+  void FailTasks(const std::string& reason);
+  void SchedulePoll();
+  void Poll();
+  void OnPolled(const HttpClientResponse& response);
+  void OnEvents(const nlohmann::json& answer);
+  void OnUnreachable();
+  void HandOn(const nlohmann::json& event);
+  void SendCommands();
+  void OnCommandsSent(const HttpClientResponse& response, uint64_t last);
+  std::string CommandBody();
+
+  EventLoop& m_loop;
+  const HttpWorkerOptions m_options;
+  RandomSource& m_random;
+  WorkerListener* m_listener = nullptr;
+  Counters m_counters;
+  HttpClient m_client;
+  EventLoop::TimerId m_timer = 0;
+
+  uint64_t m_session = 0;
+  // JSON texts of the commands that the worker has not acknowledged.
+  std::deque<std::string> m_commands;
+  uint64_t m_first_sequence = 1;
+  bool m_is_sending = false;
+  // The newest lease end, in this process's clock, and the latest one that the
+  // worker may have been told.
+  Millis m_lease_end;
+  Millis m_latest_told_end;
+  bool m_has_new_lease_end = false;
+
+  std::string m_instance;
+  uint64_t m_last_event = 0;
+  // Worker's clock minus this process's clock, at most.
+  Millis m_clock_offset;
+  bool m_is_reachable = false;
+  // Tasks that were started and have not ended, with their epochs.
+  std::map<TaskId, Epoch> m_tasks;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_NET_HTTP_WORKER_CLIENT_H_
--- a/source/net/json_response.cc
+++ b/source/net/json_response.cc
@@ -34,9 +34,10 @@
 }
 
 HttpResponse MakeErrorResponse(int status, const Error& error) {
-  const nlohmann::json json = {{"error", ToString(error.kind)},
-                               {"message", error.message},
-                               {"remedy", error.remedy}};
+  const nlohmann::json json = {{"error",
+                                {{"kind", ToString(error.kind)},
+                                 {"message", error.message},
+                                 {"remedy", error.remedy}}}};
   HttpResponse response;
   response.status = status;
   response.body =
--- a/source/net/json_response.h
+++ b/source/net/json_response.h
@@ -11,7 +11,7 @@
 /// Returns the HTTP status that stands for a kind of error.
 int HttpStatus(ErrorKind kind);
 
-/// Returns a response with the error as {"error", "message", "remedy"}.
+/// Returns a response with {"error": {"kind", "message", "remedy"}}.
 HttpResponse MakeErrorResponse(int status, const Error& error);
 HttpResponse MakeErrorResponse(const Error& error);
 
--- /dev/null
+++ b/source/net/operator_front_end.h
@@ -0,0 +1,53 @@
+#ifndef SOURCE_NET_OPERATOR_FRONT_END_H_
+#define SOURCE_NET_OPERATOR_FRONT_END_H_
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "source/base/counters.h"
+#include "source/control/operator_service.h"
+#include "source/net/http_server.h"
+
+namespace fulmarrock {
+
+/// Serves the operators' HTTP interface with JSON on a control member.
+/// docs/interfaces/operator.md documents paths, bodies and statuses.
+class OperatorFrontEnd {
+ public:
+  /// `addresses` are the HTTP addresses of the control members by node, which a
+  /// follower names in its 421 answer. `service` and `server` outlive this.
+  OperatorFrontEnd(OperatorService& service,
+                   std::map<NodeId, std::string> addresses,
+                   HttpServer& server);
+
+  const Counters& counters() const { return m_counters; }
+
+ private:
+  using Respond = HttpServer::Responder;
+
+  void Apply(const HttpRequest& request, const Respond& responder);
+  void Submit(const HttpRequest& request, const Respond& responder);
+  void Cancel(const HttpRequest& request, const Respond& responder);
+  void List(const HttpRequest& request, const Respond& responder) const;
+  void Show(const HttpRequest& request, const Respond& responder);
+  void Drain(const HttpRequest& request, const Respond& responder);
+  void AddMember(const HttpRequest& request, const Respond& responder);
+  void RemoveMember(const HttpRequest& request, const Respond& responder);
+
+  /// Answers with an error; an invalid request is counted.
+  void Fail(const Error& error, const Respond& responder);
+
+  /// Returns a callback that answers with one JSON field.
+  template <typename T>
+  OperatorService::Done<T> AnswerWith(std::string field,
+                                      const Respond& responder);
+
+  OperatorService& m_service;
+  const std::map<NodeId, std::string> m_addresses;
+  Counters m_counters;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_NET_OPERATOR_FRONT_END_H_
--- /dev/null
+++ b/source/standin/standin_target.cc
@@ -0,0 +1,125 @@
+#include "source/standin/standin_target.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "source/base/checksum.h"
+#include "source/config/json_reader.h"
+#include "source/net/json_response.h"
+
+namespace fulmarrock {
+namespace {
+
+// Bounds the memory for counting repeats in long runs.
+constexpr size_t kMaxBodies = 1'000'000;
+constexpr int64_t kMaxServiceMs = 3'600'000;
+
+HttpResponse MakeEcho(std::string body) {
+  HttpResponse response;
+  response.content_type = "application/octet-stream";
+  response.body = std::move(body);
+  return response;
+}
+
+}  // namespace
+
+StandinTarget::StandinTarget(EventLoop& loop,
+                             HttpServer& server,
+                             const TargetBehaviour& behaviour,
+                             uint64_t seed)
+    : m_loop(loop), m_behaviour(behaviour), m_random(seed) {
+  server.Route("POST", "/",
+               [this](HttpRequest request, HttpServer::Responder responder) {
+                 OnRequest(std::move(request), responder);
+               });
+  server.Route("POST", "/behaviour",
+               [this](const HttpRequest& request,
+                      const HttpServer::Responder& responder) {
+                 SetBehaviour(request, responder);
+               });
+  server.Route("GET", "/executions",
+               [this](const HttpRequest&, const HttpServer::Responder& caller) {
+                 caller.Respond(MakeJsonResponse(Executions()));
+               });
+  server.Route("GET", "/healthz",
+               [this](const HttpRequest&, const HttpServer::Responder& caller) {
+                 // A frozen program would not answer its health check either.
+                 if (!m_behaviour.is_frozen)
+                   caller.Respond(MakeJsonResponse("{}"));
+               });
+}
+
+void StandinTarget::OnRequest(HttpRequest request,
+                              const HttpServer::Responder& responder) {
+  ++m_executions;
+  if (m_by_body.size() < kMaxBodies) {
+    const uint64_t repeat = ++m_by_body[Checksum(request.body)];
+    m_largest_repeat = std::max(m_largest_repeat, repeat);
+  }
+  if (m_random.Fraction() < m_behaviour.failure_rate) {
+    HttpResponse response = MakeEcho(std::move(request.body));
+    response.status = 500;
+    responder.Respond(std::move(response));
+    return;
+  }
+  ++m_running;
+  if (m_behaviour.is_frozen) {
+    m_held.push_back({std::move(request.body), responder});
+    return;
+  }
+  if (m_behaviour.service_time == Millis()) {
+    Answer(std::move(request.body), responder);
+    return;
+  }
+  m_loop.AddTimer(m_behaviour.service_time,
+                  [this, responder, body = std::move(request.body)]() mutable {
+                    if (m_behaviour.is_frozen)
+                      m_held.push_back({std::move(body), responder});
+                    else
+                      Answer(std::move(body), responder);
+                  });
+}
+
+void StandinTarget::Answer(std::string body,
+                           const HttpServer::Responder& responder) {
+  --m_running;
+  responder.Respond(MakeEcho(std::move(body)));
+}
+
+void StandinTarget::SetBehaviour(const HttpRequest& request,
+                                 const HttpServer::Responder& responder) {
+  const Result<nlohmann::json> document = ParseJson(request.body);
+  if (!document)
+    return responder.Respond(MakeErrorResponse(document.error()));
+  FieldErrors errors;
+  JsonReader reader(*document, "", errors);
+  TargetBehaviour behaviour;
+  behaviour.service_time = Millis(reader.Integer(
+      "service_ms", 0, kMaxServiceMs, m_behaviour.service_time.count()));
+  behaviour.failure_rate =
+      static_cast<double>(reader.Integer(
+          "failure_percent", 0, 100,
+          static_cast<int64_t>(m_behaviour.failure_rate * 100))) /
+      100;
+  behaviour.is_frozen = reader.Boolean("frozen", m_behaviour.is_frozen);
+  reader.Finish();
+  if (!errors.empty())
+    return responder.Respond(MakeErrorResponse(errors.ToError().value()));
+  m_behaviour = behaviour;
+  if (!m_behaviour.is_frozen) {
+    for (Held& held : std::exchange(m_held, {}))
+      Answer(std::move(held.body), held.responder);
+  }
+  responder.Respond(MakeJsonResponse(Executions()));
+}
+
+std::string StandinTarget::Executions() const {
+  return nlohmann::json({{"executions", m_executions},
+                         {"running", m_running},
+                         {"largest_repeat", m_largest_repeat}})
+      .dump();
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/tests/net/http_worker_client_test.cc
@@ -0,0 +1,186 @@
+#include "source/net/http_worker_client.h"
+
+#include <catch2/catch.hpp>
+
+#include "source/base/seeded_random.h"
+#include "source/standin/standin_worker.h"
+#include "tests/net/net_fixture.h"
+
+namespace fulmarrock::test {
+namespace {
+
+struct SeenEvent {
+  TaskId task;
+  TaskEventKind kind;
+  std::string detail;
+};
+
+/// A stand-in worker on a loop of its own.
+class Worker {
+ public:
+  explicit Worker(uint64_t seed, const std::string& address = "127.0.0.1:0")
+      : m_random(seed) {
+    m_thread.RunAndWait([&] {
+      HttpServerOptions options;
+      options.address = address;
+      m_server.emplace(m_thread.loop(), options);
+      m_worker.emplace(m_thread.loop(), *m_server, m_random);
+      REQUIRE(m_server->Start());
+    });
+  }
+  ~Worker() {
+    m_thread.RunAndWait([this] { m_server.reset(); });
+  }
+  std::string address() const { return m_server->address(); }
+
+ private:
+  LoopThread m_thread;
+  SeededRandom m_random;
+  std::optional<HttpServer> m_server;
+  std::optional<StandinWorker> m_worker;
+};
+
+/// A worker client on a loop of its own.
+class Agent : private WorkerListener {
+ public:
+  Agent(const std::string& address, uint64_t seed) : m_random(seed) {
+    m_thread.RunAndWait([&] {
+      HttpWorkerOptions options;
+      options.address = address;
+      options.poll_interval = Millis(5);
+      m_client.emplace(m_thread.loop(), options, m_random);
+      m_client->Listen(*this);
+    });
+  }
+  ~Agent() override {
+    m_thread.RunAndWait([this] { m_client.reset(); });
+  }
+
+  void Call(const std::function<void(HttpWorkerClient&)>& function) {
+    m_thread.RunAndWait([&] { function(*m_client); });
+  }
+  void Start(TaskId task, const std::string& payload, std::string from = "") {
+    Call([&](HttpWorkerClient& client) {
+      TaskGrant grant;
+      grant.task = task;
+      grant.epoch = 5;
+      grant.can_checkpoint = true;
+      grant.payload = payload;
+      grant.checkpoint = std::move(from);
+      client.Start(grant);
+    });
+  }
+  void ExtendLeases() {
+    Call([](HttpWorkerClient& client) {
+      client.ExtendLeases(Millis::FromSeconds(60));
+    });
+  }
+  SeenEvent Take() {
+    return events.Take().value_or(
+        SeenEvent{{}, TaskEventKind::kRejected, "nothing happened"});
+  }
+
+  Mailbox<SeenEvent> events;
+
+ private:
+  void OnTaskEvent(TaskId task,
+                   TaskEventKind kind,
+                   const std::string& detail,
+                   Millis) override {
+    events.Put({task, kind, detail});
+  }
+  void OnUsage(const std::vector<TaskUsage>&) override {}
+
+  LoopThread m_thread;
+  SeededRandom m_random;
+  std::optional<HttpWorkerClient> m_client;
+};
+
+constexpr const char* kForever = R"({"duration_ms": 3600000})";
+
+// Guards against lost events, and against tasks that end without a reason.
+TEST_CASE("tasks start, complete and fail as their payloads say") {
+  Worker worker(1);
+  Agent agent(worker.address(), 2);
+  agent.ExtendLeases();
+  agent.Start({1, 0}, R"({"duration_ms": 0})");
+  CHECK(agent.Take().kind == TaskEventKind::kStarted);
+  CHECK(agent.Take().kind == TaskEventKind::kCompleted);
+  agent.Start({2, 0}, R"({"duration_ms": 0, "fail": "no paint"})");
+  CHECK(agent.Take().kind == TaskEventKind::kStarted);
+  const SeenEvent failed = agent.Take();
+  CHECK(failed.kind == TaskEventKind::kFailed);
+  CHECK(failed.detail == "no paint");
+}
+
+// Guards against a task that runs although its agent's lease has not begun.
+TEST_CASE("a task makes no progress without a lease") {
+  Worker worker(1);
+  Agent agent(worker.address(), 2);
+  agent.Start({1, 0}, R"({"duration_ms": 0})");
+  CHECK(agent.Take().kind == TaskEventKind::kStarted);
+  agent.Start({2, 0}, kForever);
+  CHECK(agent.Take().task == TaskId{2, 0});
+  agent.ExtendLeases();
+  const SeenEvent next = agent.Take();
+  CHECK(next.task == TaskId{1, 0});
+  CHECK(next.kind == TaskEventKind::kCompleted);
+}
+
+// Guards against a checkpoint that does not stop the task or cannot be resumed
+// on another worker.
+TEST_CASE("a checkpointed task resumes on another worker") {
+  Worker first(1);
+  Agent agent(first.address(), 2);
+  agent.ExtendLeases();
+  agent.Start({1, 0}, kForever, "work-done-ms-3600000");
+  CHECK(agent.Take().kind == TaskEventKind::kStarted);
+  CHECK(agent.Take().kind == TaskEventKind::kCompleted);
+  agent.Start({2, 0}, kForever);
+  CHECK(agent.Take().kind == TaskEventKind::kStarted);
+  agent.Call([](HttpWorkerClient& client) { client.Checkpoint({2, 0}); });
+  const SeenEvent saved = agent.Take();
+  CHECK(saved.kind == TaskEventKind::kCheckpointed);
+  Worker second(3);
+  Agent other(second.address(), 4);
+  other.Start({2, 0}, kForever, saved.detail);
+  CHECK(other.Take().kind == TaskEventKind::kStarted);
+}
+
+// Guards against tasks that stay "running" for ever after their worker died.
+TEST_CASE("the tasks of a restarted worker are reported as failed") {
+  std::optional<Worker> worker(std::in_place, 1);
+  const std::string address = worker->address();
+  Agent agent(address, 2);
+  agent.ExtendLeases();
+  agent.Start({1, 0}, kForever);
+  CHECK(agent.Take().kind == TaskEventKind::kStarted);
+  worker.reset();
+  worker.emplace(3, address);
+  CHECK(agent.Take().kind == TaskEventKind::kFailed);
+  agent.Start({2, 0}, R"({"duration_ms": 0})");
+  CHECK(agent.Take().kind == TaskEventKind::kStarted);
+  CHECK(agent.Take().kind == TaskEventKind::kCompleted);
+}
+
+// Guards against two agents that both believe they run the tasks of a worker.
+TEST_CASE("a new agent stops the tasks of the earlier one") {
+  Worker worker(1);
+  Agent first(worker.address(), 2);
+  first.ExtendLeases();
+  first.Start({1, 0}, kForever);
+  CHECK(first.Take().kind == TaskEventKind::kStarted);
+  Agent second(worker.address(), 3);
+  second.Call([](HttpWorkerClient& client) { client.StopAll(); });
+  second.ExtendLeases();
+  second.Start({1, 0}, R"({"duration_ms": 0})");
+  CHECK(second.Take().kind == TaskEventKind::kStarted);
+  CHECK(second.Take().kind == TaskEventKind::kCompleted);
+  first.Call([](HttpWorkerClient& client) { client.Checkpoint({1, 0}); });
+  const SeenEvent lost = first.Take();
+  CHECK(lost.task == TaskId{1, 0});
+  CHECK(lost.kind != TaskEventKind::kStarted);
+}
+
+}  // namespace
+}  // namespace fulmarrock::test
