Control: Delay the next attempt of a task that failed

Cause: a worker that fails everything is often the only free one, so a task came back to it within 30 ms and used up its five attempts there within 130 ms (scenario batch/worker_fails_everything: job j5 failed). Change: the next attempt waits 1 s, doubling with each failure up to 64 s. After: all six jobs of the scenario complete on the other workers.

--- a/source/control/control_state.cc
+++ b/source/control/control_state.cc
@@ -252,7 +252,9 @@
       break;
   }
   if (task.state == TaskState::kPending) {
-    effects.tasks.push_back(MakeEffect(TaskEffect::Kind::kQueued, *job, index));
+    TaskEffect queued = MakeEffect(TaskEffect::Kind::kQueued, *job, index);
+    queued.result = effect.result;
+    effects.tasks.push_back(queued);
   }
 }
 
--- a/source/control/control_state.h
+++ b/source/control/control_state.h
@@ -19,7 +19,7 @@
 /// What became of one task while a command was applied.
 struct TaskEffect {
   enum class Kind {
-    kQueued,         ///< It is pending (again).
+    kQueued,         ///< It is pending (again); `result` tells why.
     kUnqueued,       ///< It was pending and is cancelled.
     kGranted,        ///< The grant counts; the agent has to learn of it.
     kGrantRefused,   ///< The grant came too late and changed nothing.
--- a/source/control/task_dispatcher.cc
+++ b/source/control/task_dispatcher.cc
@@ -11,6 +11,10 @@
 constexpr Millis kResendInterval{1'000};
 constexpr Millis kEvictionInterval{100};
 constexpr Millis kUnplaceableInterval{1'000};
+// A worker that fails everything at once is often the only free one, so that
+// without a pause it would use up all attempts of a task within a second.
+constexpr Millis kFirstBackoff{1'000};
+constexpr uint32_t kMaxBackoffDoublings = 6;
 /// Keeps a worker whose agent refuses grants from being chosen at once again.
 constexpr Millis kRejectionPause{1'000};
 /// Keeps a worker that fails everything from failing more jobs.
@@ -68,6 +72,7 @@
   m_resends.clear();
   m_fresh.clear();
   m_unplaceable.clear();
+  m_backed_off.clear();
   m_should_retry_unplaceable = false;
 }
 
@@ -103,6 +108,7 @@
 
 void TaskDispatcher::Propose(CommandBatch& batch, Millis now) {
   RetryUnplaceable(now);
+  EnqueueBackedOff(now);
   for (const Placement& placement :
        m_scheduler.Schedule(kPlacementsPerTick, now)) {
     const TaskRecord* task = m_state.jobs().FindTask(placement.task);
@@ -196,7 +202,10 @@
 void TaskDispatcher::OnTaskEffect(const TaskEffect& effect, Millis now) {
   switch (effect.kind) {
     case TaskEffect::Kind::kQueued:
-      Enqueue(effect.task);
+      if (effect.result == AttemptResult::kFailed)
+        EnqueueAfterBackoff(effect.task, now);
+      else
+        Enqueue(effect.task);
       return;
     case TaskEffect::Kind::kUnqueued:
       m_scheduler.RemovePending(effect.task);
@@ -248,6 +257,22 @@
   m_scheduler.Enqueue({id, &job->spec, task->since - m_time_offset});
 }
 
+void TaskDispatcher::EnqueueAfterBackoff(TaskId id, Millis now) {
+  const TaskRecord* task = m_state.jobs().FindTask(id);
+  if (!task)
+    return;
+  const uint32_t doublings = std::min<uint32_t>(
+      std::max<uint32_t>(task->failed_attempts, 1) - 1, kMaxBackoffDoublings);
+  m_backed_off.emplace(now + kFirstBackoff * (int64_t{1} << doublings), id);
+}
+
+void TaskDispatcher::EnqueueBackedOff(Millis now) {
+  while (!m_backed_off.empty() && m_backed_off.begin()->first <= now) {
+    Enqueue(m_backed_off.begin()->second);
+    m_backed_off.erase(m_backed_off.begin());
+  }
+}
+
 void TaskDispatcher::RetryUnplaceable(Millis now) {
   if (!m_should_retry_unplaceable || now < m_next_retry)
     return;
--- a/source/control/task_dispatcher.h
+++ b/source/control/task_dispatcher.h
@@ -67,6 +67,9 @@
   /// Keeps a worker that refused a grant or fails everything from being chosen.
   void PauseAfter(const TaskEffect& effect, Millis now);
   void Enqueue(TaskId task);
+  /// Lets a task that failed wait, longer with each failure.
+  void EnqueueAfterBackoff(TaskId task, Millis now);
+  void EnqueueBackedOff(Millis now);
   void RetryUnplaceable(Millis now);
   void ProposeUnplaceable(CommandBatch& batch);
   bool IsNeeded(const Resend& resend) const;
@@ -84,6 +87,8 @@
   // Those to send at once.
   std::vector<Resend> m_fresh;
   std::vector<TaskId> m_unplaceable;
+  // Tasks whose last attempt failed, by the time they may run again.
+  std::multimap<Millis, TaskId> m_backed_off;
   bool m_should_retry_unplaceable = false;
   Millis m_next_retry;
   Millis m_next_evictions;
