--- a/source/consensus/consensus_node_replication.cc
+++ b/source/consensus/consensus_node_replication.cc
@@ -244,10 +244,13 @@
   if (request.previous_index == 0 ||
       request.previous_index > m_log->last_index())
     return m_log->last_index();
-  // Skips the whole term that differs.
+  // Skips entries of the term that differs. The limit keeps entries of that
+  // term that agree from being sent again.
+  constexpr LogIndex kMaxSkipped = 256;
   const Term term = m_log->TermAt(request.previous_index);
   LogIndex index = request.previous_index - 1;
   while (index > m_commit_index && index > m_log->base_index() &&
+         request.previous_index - index < kMaxSkipped &&
          m_log->TermAt(index) == term)
     --index;
   return index;
--- a/source/consensus/replicator.cc
+++ b/source/consensus/replicator.cc
@@ -256,10 +256,11 @@
 }
 
 void Replicator::OnMismatch(const NodeId& node, Peer& peer, LogIndex hint) {
-  // A hint below what the follower is known to hold answers an old request.
-  if (hint < peer.match || peer.mode == Mode::kSnapshot)
+  if (peer.mode == Mode::kSnapshot)
     return;
-  const LogIndex next = std::min(hint, m_log.last_index()) + 1;
+  // A hint may skip entries that the follower is known to hold, because it
+  // answers an old request or because their term continues differently.
+  const LogIndex next = std::clamp(hint, peer.match, m_log.last_index()) + 1;
   if (peer.mode == Mode::kProbe && next == peer.next)
     return;
   m_counters.Add("append_mismatches");
--- a/source/storage/log_file.cc
+++ b/source/storage/log_file.cc
@@ -14,6 +14,7 @@
 
 constexpr uint32_t kMagic = 0x474F4C46;  // "FLOG" in little-endian order.
 constexpr std::string_view kPrefix = "log-";
+constexpr std::string_view kNewName = "segment.new";
 
 constexpr uint32_t kRecords = 0;
 constexpr uint32_t kReset = 1;
@@ -148,6 +149,9 @@
 }
 
 Result<void> LogFile::Recover(LogVisitor& visitor) {
+  // A segment may have been created just before a failure of the folder sync.
+  if (Result<void> result = m_storage.SyncFolder(); !result)
+    return result;
   const Result<std::vector<std::string>> names = m_storage.List();
   if (!names)
     return tl::make_unexpected(names.error());
@@ -185,6 +189,7 @@
     return tl::make_unexpected(bytes.error());
   m_segments.push_back({.number = number});
   uint64_t offset = 0;
+  uint64_t records_end = 0;
   while (offset < bytes->size()) {
     const std::optional<FrameHeader> header = ReadFrame(*bytes, number, offset);
     if (!header)
@@ -192,6 +197,8 @@
     const std::string_view payload = std::string_view(*bytes).substr(
         offset + sizeof(FrameHeader), header->length);
     offset += sizeof(FrameHeader) + header->length;
+    if (header->kind != kMarker)
+      records_end = offset;
     if (header->kind == kReset) {
       NoteRecords(1, 0);
       m_next_index = header->first_index;
@@ -203,18 +210,42 @@
         return result;
     }
   }
-  m_segments.back().bytes = offset;
-  if (offset < bytes->size()) {
-    if (!is_last || HasFrameBehind(*bytes, number, offset))
-      return Corrupt("log segment " + name + " is damaged at byte " +
-                     std::to_string(offset));
-    if (Result<void> result = (*file)->Truncate(offset); !result)
-      return result;
-    if (Result<void> result = (*file)->Sync(); !result)
+  m_segments.back().bytes = records_end;
+  m_file = std::move(*file);
+  if (offset < bytes->size() &&
+      (!is_last || HasFrameBehind(*bytes, number, offset)))
+    return Corrupt("log segment " + name + " is damaged at byte " +
+                   std::to_string(offset));
+  if (!is_last || bytes->empty())
+    return {};
+  return RepairTail(std::string_view(*bytes).substr(0, records_end),
+                    offset > records_end);
+}
+
+Result<void> LogFile::RepairTail(std::string_view valid, bool is_marked) {
+  if (is_marked) {
+    // The marker is written again as well, because its sync may have failed.
+    if (Result<void> result = m_file->Truncate(valid.size()); !result)
       return result;
+    return WriteFrame(kMarker, 0, 0, {});
   }
+  // Without a marker the last frame may be unsynced. A sync now could miss it:
+  // after a failed sync the operating system may take the bytes for written. So
+  // the segment is written again.
+  Result<std::unique_ptr<StorageFile>> file = m_storage.Create(kNewName);
+  if (!file)
+    return tl::make_unexpected(std::move(file.error()));
+  if (Result<void> result = (*file)->Append(valid); !result)
+    return result;
+  if (Result<void> result = (*file)->Sync(); !result)
+    return result;
+  const std::string name = SegmentName(m_segments.back().number);
+  if (Result<void> result = m_storage.Rename(kNewName, name); !result)
+    return result;
+  if (Result<void> result = m_storage.SyncFolder(); !result)
+    return result;
   m_file = std::move(*file);
-  return {};
+  return WriteFrame(kMarker, 0, 0, {});
 }
 
 Result<void> LogFile::VisitFrame(std::string_view payload,
--- a/source/storage/log_file.h
+++ b/source/storage/log_file.h
@@ -72,6 +72,7 @@
   Result<void> RecoverSegment(uint64_t number,
                               bool is_last,
                               LogVisitor& visitor);
+  Result<void> RepairTail(std::string_view valid, bool is_marked);
   Result<void> VisitFrame(std::string_view payload,
                           uint64_t first_index,
                           uint32_t count,
--- a/source/storage/member_state.cc
+++ b/source/storage/member_state.cc
@@ -66,6 +66,9 @@
 }
 
 Result<void> MemberStateStore::Load(RandomSource& random) {
+  // The file may have been renamed just before a failure of the folder sync.
+  if (Result<void> result = m_storage->SyncFolder(); !result)
+    return result;
   const Result<std::unique_ptr<StorageFile>> file = m_storage->Open(kName);
   if (!file) {
     if (file.error().kind != ErrorKind::kNotFound)
--- a/source/storage/snapshot_store.cc
+++ b/source/storage/snapshot_store.cc
@@ -34,6 +34,9 @@
 }  // namespace
 
 Result<std::optional<StoredSnapshot>> SnapshotStore::Load() {
+  // The file may have been renamed just before a failure of the folder sync.
+  if (Result<void> result = m_storage.SyncFolder(); !result)
+    return tl::make_unexpected(std::move(result.error()));
   const Result<std::unique_ptr<StorageFile>> file = m_storage.Open(kName);
   if (!file) {
     if (file.error().kind == ErrorKind::kNotFound)
--- a/tests/support/consensus_cluster.cc
+++ b/tests/support/consensus_cluster.cc
@@ -118,8 +118,10 @@
   Result<std::unique_ptr<ConsensusNode>> opened = ConsensusNode::Open(
       options, {*running.machine, m_network.TransportOf(node), m_clock,
                 m_random, Disk(node)});
-  if (!opened)
+  if (!opened && opened.error().kind == ErrorKind::kCorruption)
     throw std::runtime_error(opened.error().Describe());
+  if (!opened)
+    return;
   running.node = std::move(*opened);
   running.tick_phase =
       m_random.Below(static_cast<uint64_t>(kTickInterval.count()));
--- a/tests/support/consensus_cluster.h
+++ b/tests/support/consensus_cluster.h
@@ -90,6 +90,7 @@
   /// Options for nodes that start from now on.
   ConsensusOptions& options() { return m_options; }
 
+  /// Starts a node. It stays down if its disk fails; throws if it finds damage.
   void Start(const NodeId& node);
   void StartAll();
   void Crash(const NodeId& node, CrashKind kind);
