Lease: Cover only the tasks that control judged with a renewal

Each lease now has its own deadline; a renewal prolongs only leases that were held when it was sent, and a new lease lives on the renewal that its grant names until then.

A scripted one-way loss left tasks granted for ever to a worker that renews but never hears an answer. Renewals now name the newest answered one; a worker whose answers are lost for a term is not renewed while it has leases, and gets no new tasks until an answer arrives.

--- a/source/agent/task_runner.cc
+++ b/source/agent/task_runner.cc
@@ -57,8 +57,7 @@
 
 void TaskRunner::OnTick() {
   const Millis now = m_clock.Now();
-  if (!HasLease())
-    SuspendExpired();
+  SuspendExpired();
   // A stopping agent keeps announcing: an acknowledgement does not tell whether
   // it is for the announcement that says so.
   if ((!m_is_announced || m_is_stopping) && now >= m_next_announce)
@@ -127,6 +126,7 @@
       reply.sent_at > m_clock.Now())
     return;
   m_leader = from;
+  m_answered_at = std::max(m_answered_at, reply.sent_at);
   if (reply.needs_report) {
     SendReport();
     return;
@@ -142,9 +142,6 @@
   const uint64_t spread = static_cast<uint64_t>(kRenewalInterval.count()) / 10;
   m_next_renew = reply.sent_at + kRenewalInterval -
                  Millis(static_cast<int64_t>(m_random.Below(spread)));
-  const Millis term = std::min(reply.term, kLeaseTerm);
-  m_lease_until =
-      std::max(m_lease_until, reply.sent_at + term - kClockDriftMargin);
   for (const HeldLease& lease : reply.revoked) {
     const auto it = m_leases.find(lease.task);
     if (it != m_leases.end() && it->second.epoch == lease.epoch) {
@@ -152,23 +149,23 @@
       StopLease(lease.task, it->second, /*with_checkpoint=*/false);
     }
   }
-  if (HasLease())
-    ResumeAll();
+  Renew(reply.sent_at, std::min(reply.term, kLeaseTerm));
 }
 
 void TaskRunner::OnGrants(const GrantBatch& batch) {
-  const bool is_fresh =
-      m_clock.Now() < batch.lease_sent_at + kLeaseTerm - kClockDriftMargin;
-  if (batch.incarnation != m_settings.incarnation || !is_fresh || !HasLease()) {
+  const Millis valid_until =
+      batch.lease_sent_at + kLeaseTerm - kClockDriftMargin;
+  if (batch.incarnation != m_settings.incarnation ||
+      m_clock.Now() >= valid_until) {
     // Control sends current grants again after the next renewal.
     m_counters.Add("agent_grants_not_current");
     return;
   }
   for (const TaskGrant& grant : batch.grants)
-    OnGrant(grant);
+    OnGrant(grant, valid_until);
 }
 
-void TaskRunner::OnGrant(const TaskGrant& grant) {
+void TaskRunner::OnGrant(const TaskGrant& grant, Millis valid_until) {
   if (IsPast(grant.task, grant.epoch))
     return;
   const auto held = m_leases.find(grant.task);
@@ -192,6 +189,8 @@
   lease.kind = grant.kind;
   lease.resources = grant.resources;
   lease.can_checkpoint = grant.can_checkpoint;
+  lease.started_at = m_clock.Now();
+  lease.valid_until = valid_until;
   m_used += grant.resources;
   m_counters.Add("agent_tasks_started");
   m_worker.Start(grant);
@@ -282,7 +281,7 @@
 void TaskRunner::SuspendExpired() {
   const Millis now = m_clock.Now();
   for (auto& [task, lease] : m_leases) {
-    if (lease.state == LeaseState::kEnded)
+    if (lease.state == LeaseState::kEnded || now < lease.valid_until)
       continue;
     if (!lease.is_suspended) {
       // Also one that is being stopped must not go on by itself.
@@ -298,10 +297,17 @@
   }
 }
 
-void TaskRunner::ResumeAll() {
+void TaskRunner::Renew(Millis sent_at, Millis term) {
+  const Millis valid_until = sent_at + term - kClockDriftMargin;
+  const bool is_valid = m_clock.Now() < valid_until;
   for (auto& [task, lease] : m_leases) {
+    // Control did not judge what started after the renewal: a late one may
+    // arrive when such a lease has expired there and runs elsewhere.
+    if (lease.state == LeaseState::kEnded || lease.started_at >= sent_at)
+      continue;
+    lease.valid_until = std::max(lease.valid_until, valid_until);
     // A task under a stop order stays suspended until it has ended.
-    if (!lease.is_suspended || lease.state != LeaseState::kRunning)
+    if (!is_valid || !lease.is_suspended || lease.state != LeaseState::kRunning)
       continue;
     lease.is_suspended = false;
     m_counters.Add("agent_tasks_resumed");
@@ -343,6 +349,7 @@
   renew.digest = m_digest;
   renew.lease_count = static_cast<uint32_t>(m_leases.size());
   renew.sent_at = now;
+  renew.answered_at = m_answered_at;
   SendToControl(renew);
 }
 
@@ -350,6 +357,7 @@
   LeaseReport report;
   report.incarnation = m_settings.incarnation;
   report.sent_at = m_clock.Now();
+  report.answered_at = m_answered_at;
   report.leases.reserve(m_leases.size());
   for (const auto& [task, lease] : m_leases)
     report.leases.push_back({task, lease.epoch});
--- a/source/agent/task_runner.h
+++ b/source/agent/task_runner.h
@@ -31,8 +31,9 @@
 };
 
 /// Runs tasks on the worker beside the agent under leases from control. A new
-/// incarnation starts with none: the worker ends the tasks of an agent that it
-/// lost within the lease term.
+/// incarnation starts with none. This relies on the worker: it ends the tasks
+/// of a lost agent within the clock drift margin, and before it takes any from
+/// a new agent.
 class TaskRunner : public AgentPart, public WorkerListener {
  public:
   /// All references outlive the runner.
@@ -71,6 +72,9 @@
     Resources resources;
     bool can_checkpoint = false;
     LeaseState state = LeaseState::kRunning;
+    Millis started_at;
+    /// The task may execute before this instant.
+    Millis valid_until;
     bool is_suspended = false;
     Millis suspended_at;
     /// Number of the final event, once it ended.
@@ -84,7 +88,7 @@
   void OnAnnounceAck(const NodeId& from, const WorkerAnnounceAck& ack);
   void OnRenewReply(const NodeId& from, const LeaseRenewReply& reply);
   void OnGrants(const GrantBatch& batch);
-  void OnGrant(const TaskGrant& grant);
+  void OnGrant(const TaskGrant& grant, Millis valid_until);
   void OnStop(const TaskStop& stop);
   void OnEventsAck(const TaskEventsAck& ack);
 
@@ -98,10 +102,10 @@
   /// Whether a grant or stop names an epoch that was dealt with before.
   bool IsPast(TaskId task, Epoch epoch) const;
   uint64_t AddEvent(TaskEvent event);
-  bool HasLease() const { return m_clock.Now() < m_lease_until; }
+  /// Prolongs the leases that a renewal sent at this instant covered.
+  void Renew(Millis sent_at, Millis term);
 
   void SuspendExpired();
-  void ResumeAll();
   void ForgetPastLeases();
   void SendAnnounce();
   void SendRenew();
@@ -123,7 +127,7 @@
   Resources m_used;
   // Epochs that ended here; late copies of their grants are refused.
   std::unordered_map<TaskId, PastLease> m_past;
-  Millis m_lease_until;
+  Millis m_answered_at;
 
   std::deque<TaskEvent> m_events;
   uint64_t m_first_sequence = 1;
--- a/source/agent/task_runner_dump.cc
+++ b/source/agent/task_runner_dump.cc
@@ -19,7 +19,6 @@
       {"leader", m_leader},
       {"announced", m_is_announced},
       {"stopping", m_is_stopping},
-      {"lease_remaining_ms", (m_lease_until - m_clock.Now()).count()},
       {"unacknowledged_events", m_events.size()},
       {"leases", nlohmann::json::array()},
   };
@@ -28,6 +27,7 @@
         {{"task", ToString(task)},
          {"epoch", lease.epoch},
          {"state", StateName(static_cast<int>(lease.state))},
+         {"remaining_ms", (lease.valid_until - m_clock.Now()).count()},
          {"suspended", lease.is_suspended}});
   }
   return dump.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -168,8 +168,12 @@
   if (index == kNoWorker)
     return;
   m_counters.Add("control_renewals");
-  m_leases.OnRenewal(index, renew.sent_at, m_clock.Now());
   const WorkerRecord& worker = *m_state.workers().Get(index);
+  if (!m_leases.OnRenewal(index, renew.sent_at, renew.answered_at,
+                          !worker.tasks.empty(), m_clock.Now())) {
+    m_counters.Add("control_workers_unreachable");
+    return;
+  }
   LeaseRenewReply reply;
   reply.incarnation = renew.incarnation;
   reply.sent_at = renew.sent_at;
@@ -187,7 +191,12 @@
   if (index == kNoWorker)
     return;
   const Millis now = m_clock.Now();
-  m_leases.OnRenewal(index, report.sent_at, now);
+  const bool has_leases = !m_state.workers().Get(index)->tasks.empty();
+  if (!m_leases.OnRenewal(index, report.sent_at, report.answered_at, has_leases,
+                          now)) {
+    m_counters.Add("control_workers_unreachable");
+    return;
+  }
   LeaseRenewReply reply;
   reply.incarnation = report.incarnation;
   reply.sent_at = report.sent_at;
--- a/source/control/lease_monitor.cc
+++ b/source/control/lease_monitor.cc
@@ -32,15 +32,31 @@
   entry.deadline = now + kSafeTerm;
   entry.has_renewal = false;
   entry.is_expiring = false;
+  entry.is_answer_open = false;
 }
 
-void LeaseMonitor::OnRenewal(WorkerIndex worker, Millis sent_at, Millis now) {
+bool LeaseMonitor::OnRenewal(WorkerIndex worker,
+                             Millis sent_at,
+                             Millis answered_at,
+                             bool has_leases,
+                             Millis now) {
   Entry& entry = Get(worker);
+  if (entry.is_answer_open && answered_at >= entry.open_sent_at)
+    entry.is_answer_open = false;
+  if (entry.is_answer_open && has_leases &&
+      now >= entry.open_since + kLeaseTerm)
+    return false;
+  if (!entry.is_answer_open) {
+    entry.is_answer_open = true;
+    entry.open_sent_at = sent_at;
+    entry.open_since = now;
+  }
   entry.last_heard = now;
   entry.deadline = std::max(entry.deadline, now + kSafeTerm);
   entry.last_sent_at =
       entry.has_renewal ? std::max(entry.last_sent_at, sent_at) : sent_at;
   entry.has_renewal = true;
+  return true;
 }
 
 bool LeaseMonitor::IsExpiring(WorkerIndex worker) const {
@@ -100,8 +116,10 @@
     entry.is_expiring = true;
     events.push_back({LeaseEvent::Kind::kExpired, worker});
   }
-  const bool is_alive =
-      now < entry.last_heard + kSilence && now >= entry.paused_until;
+  const bool is_reachable =
+      !entry.is_answer_open || now < entry.open_since + kSilence;
+  const bool is_alive = is_reachable && now < entry.last_heard + kSilence &&
+                        now >= entry.paused_until;
   if (is_alive != entry.is_alive) {
     entry.is_alive = is_alive;
     events.push_back(
--- a/source/control/lease_monitor.h
+++ b/source/control/lease_monitor.h
@@ -35,7 +35,7 @@
   /// quorum check fails; a new leader adds it to its first wait.
   static constexpr Millis kLeaderOverlap{1'000};
 
-  /// Two missed renewals.
+  /// Two missed renewals or answers.
   static constexpr Millis kSilence{9'000};
   static constexpr Millis kGoneAfter = Millis::FromSeconds(3600);
 
@@ -46,8 +46,15 @@
   /// keep their own deadline.
   void OnAnnounced(WorkerIndex worker, bool is_restart, Millis now);
 
-  /// Takes a renewal of the current incarnation.
-  void OnRenewal(WorkerIndex worker, Millis sent_at, Millis now);
+  /// Takes a renewal of the current incarnation, which names the newest one
+  /// that the agent saw answered. False when none of the answers of a whole
+  /// term arrived: such a worker never learns of its grants. While it has
+  /// leases they must not be renewed, so that they end and run elsewhere.
+  bool OnRenewal(WorkerIndex worker,
+                 Millis sent_at,
+                 Millis answered_at,
+                 bool has_leases,
+                 Millis now);
 
   /// Whether the release of the worker's leases is proposed, so that they must
   /// not be renewed.
@@ -76,6 +83,11 @@
     Millis orphan_deadline;
     Millis last_sent_at;
     Millis paused_until;
+    // First renewal whose answer is not known to have arrived, by the agent's
+    // clock and by the own one.
+    Millis open_sent_at;
+    Millis open_since;
+    bool is_answer_open = false;
     bool has_renewal = false;
     bool is_expiring = false;
     bool is_alive = true;
--- a/source/message/task_messages.h
+++ b/source/message/task_messages.h
@@ -99,10 +99,14 @@
   uint32_t lease_count = 0;
   /// Instant of the agent's clock at sending; returned unchanged.
   Millis sent_at;
+  /// `sent_at` of the newest renewal or report that was answered; tells control
+  /// whether its messages reach the agent.
+  Millis answered_at;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
-    visitor(self.incarnation, self.digest, self.lease_count, self.sent_at);
+    visitor(self.incarnation, self.digest, self.lease_count, self.sent_at,
+            self.answered_at);
   }
 };
 
@@ -130,10 +134,11 @@
   Incarnation incarnation = 0;
   Millis sent_at;
   std::vector<HeldLease> leases;
+  Millis answered_at;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
-    visitor(self.incarnation, self.sent_at, self.leases);
+    visitor(self.incarnation, self.sent_at, self.leases, self.answered_at);
   }
 };
 
--- a/tests/support/control_cluster.cc
+++ b/tests/support/control_cluster.cc
@@ -2,13 +2,18 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace fulmarrock::test {
 
 ControlCluster::ControlCluster(size_t member_count,
                                size_t agent_count,
-                               uint64_t seed)
-    : random(seed), network(clock, random), log(clock) {
+                               uint64_t seed,
+                               WorkerWrapper wrapper)
+    : random(seed),
+      network(clock, random),
+      log(clock),
+      wrap_worker(std::move(wrapper)) {
   for (size_t i = 0; i < member_count; ++i) {
     members.push_back(std::make_unique<ControlNode>());
     members[i]->node = "control" + std::to_string(i);
@@ -16,7 +21,9 @@
   }
   log.ChangeLeader(members[0]->node);
   for (size_t i = 0; i < agent_count; ++i) {
-    agents.push_back(std::make_unique<AgentNode>(clock));
+    const auto drift = static_cast<int64_t>(random.Below(41)) - 20;
+    agents.push_back(std::make_unique<AgentNode>(
+        clock, Millis(static_cast<int64_t>(random.Below(10'000'000))), drift));
     agents[i]->node = "agent" + std::to_string(i);
     StartAgent(i);
   }
@@ -104,7 +111,7 @@
   settings.address = "127.0.0.1:1";
   settings.capacity = worker_capacity;
   settings.incarnation = agent.incarnation;
-  WorkerClient& worker = wrap_worker ? wrap_worker(agent.worker) : agent.worker;
+  WorkerClient& worker = wrap_worker ? wrap_worker(index) : agent.worker;
   agent.runner = std::make_unique<TaskRunner>(settings, clock,
                                               network.TransportOf(agent.node),
                                               random, worker, agent.counters);
--- a/tests/support/control_cluster.h
+++ b/tests/support/control_cluster.h
@@ -16,6 +16,7 @@
 #include "tests/support/fake_worker.h"
 #include "tests/support/first_fit_scheduler.h"
 #include "tests/support/manual_clock.h"
+#include "tests/support/skewed_clock.h"
 
 namespace fulmarrock::test {
 
@@ -29,18 +30,24 @@
     std::unique_ptr<ControlRole> role;
   };
   struct AgentNode {
-    explicit AgentNode(const Clock& clock) : worker(clock) {}
+    AgentNode(const Clock& base, Millis offset, int64_t drift)
+        : clock(base, offset, drift), worker(base) {}
     NodeId node;
+    SkewedClock clock;
     Incarnation incarnation = 0;
     Counters counters;
     FakeWorker worker;
     std::unique_ptr<TaskRunner> runner;
   };
 
-  /// Makes the transport of an agent; lets a test break what an agent sends.
-  using WorkerWrapper = std::function<WorkerClient&(FakeWorker&)>;
+  /// Returns what an agent uses as its worker; lets a test observe or break it.
+  using WorkerWrapper = std::function<WorkerClient&(size_t agent)>;
 
-  ControlCluster(size_t members, size_t agents, uint64_t seed);
+  /// Agents' clocks drift by up to 2 percent in both directions.
+  ControlCluster(size_t members,
+                 size_t agents,
+                 uint64_t seed,
+                 WorkerWrapper wrapper = {});
   ~ControlCluster();
 
   /// Advances the time in steps of one tick, and calls `check` after each.
@@ -79,7 +86,6 @@
   std::vector<std::unique_ptr<ControlNode>> members;
   std::vector<std::unique_ptr<AgentNode>> agents;
   Resources worker_capacity{4000, 4096, 0};
-  /// Set before StartAgent() to run an agent against another worker client.
   WorkerWrapper wrap_worker;
 
  private:
--- a/tests/support/fake_log.cc
+++ b/tests/support/fake_log.cc
@@ -118,6 +118,13 @@
   }
 }
 
+void FakeLog::KeepOnly(size_t count) {
+  m_entries.resize(count);
+  m_committed = count;
+  m_snapshot.clear();
+  m_snapshot_index = 0;
+}
+
 void FakeLog::Advance() {
   const Millis now = m_clock.Now();
   for (auto& [node, port] : m_ports) {
--- a/tests/support/fake_log.h
+++ b/tests/support/fake_log.h
@@ -43,6 +43,10 @@
   /// Replaces the committed log by a snapshot of the leader.
   void Compact();
 
+  /// Breaks the promise of the log: only the first commands are left, and there
+  /// is no snapshot. Members must be down.
+  void KeepOnly(size_t count);
+
   /// Commits and applies what is due.
   void Advance();
 
@@ -51,6 +55,7 @@
 
   const NodeId& leader() const { return m_leader; }
   size_t uncommitted_count() const { return m_entries.size() - m_committed; }
+  size_t committed_count() const { return m_committed; }
   uint64_t committed_bytes() const { return m_committed_bytes; }
 
  private:
--- a/tests/support/fake_worker.cc
+++ b/tests/support/fake_worker.cc
@@ -5,6 +5,11 @@
 
 namespace fulmarrock::test {
 
+void FakeWorker::SetListener(WorkerListener* listener) {
+  std::erase_if(m_tasks, [](const auto& item) { return item.second.is_lost; });
+  m_listener = listener;
+}
+
 void FakeWorker::Start(const TaskGrant& grant) {
   if (m_tasks.contains(grant.task))
     ++double_starts;
--- a/tests/support/fake_worker.h
+++ b/tests/support/fake_worker.h
@@ -27,7 +27,8 @@
 
   explicit FakeWorker(const Clock& clock) : m_clock(clock) {}
 
-  void SetListener(WorkerListener* listener) { m_listener = listener; }
+  /// Connects an agent; what a lost one left behind ends first.
+  void SetListener(WorkerListener* listener);
   void SetStopTime(Millis stop_time) { m_stop_time = stop_time; }
 
   void Start(const TaskGrant& grant) override;
