--- a/tests/support/consensus_cluster.cc
+++ b/tests/support/consensus_cluster.cc
@@ -166,11 +166,12 @@
   return {};
 }
 
-bool ConsensusCluster::Propose(const NodeId& node, const std::string& command) {
-  const Result<LogIndex> index = Node(node).Propose(command);
+Result<LogIndex> ConsensusCluster::Propose(const NodeId& node,
+                                           const std::string& command) {
+  Result<LogIndex> index = Node(node).Propose(command);
   if (index)
     Machine(node).NoteProposal(*index, command);
-  return index.has_value();
+  return index;
 }
 
 bool ConsensusCluster::Commit(const std::string& command) {
--- a/tests/support/consensus_cluster.h
+++ b/tests/support/consensus_cluster.h
@@ -122,8 +122,8 @@
   /// Returns a node that leads, or an empty name.
   NodeId Leader() const;
 
-  /// Proposes a command at a node; false if it was refused.
-  bool Propose(const NodeId& node, const std::string& command);
+  /// Proposes a command at a node.
+  Result<LogIndex> Propose(const NodeId& node, const std::string& command);
 
   /// Waits for a leader, proposes there and waits until it is applied at all
   /// nodes that are up.
