--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 BUILD_DIR ?= build
 SANITIZER ?=
 TEST_ARGS ?=
+FILTER ?=
 
-.PHONY: build test bench demo
+.PHONY: build test bench capacity demo fuzz
 
 build:
 	@bash .ci/install-packages
@@ -10,7 +11,16 @@
 	@ninja -C $(BUILD_DIR) --quiet
 
 test: build
-	@ctest --test-dir $(BUILD_DIR) --output-on-failure -j 8 $(TEST_ARGS)
+	@bash .ci/run-tests $(BUILD_DIR) $(TEST_ARGS)
 
 bench: build
 	@$(BUILD_DIR)/bench/fulmarrock_bench $(FILTER)
+
+# Random failures with fresh seeds; a failing run prints its seed and script.
+FUZZ_RUNS ?= 2000
+fuzz: build
+	@seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); \
+	for test in $(BUILD_DIR)/tests/*_test; do \
+	  echo "seed $$seed: $$test"; \
+	  RC_PARAMS="seed=$$seed max_success=$(FUZZ_RUNS)" $$test || exit 1; \
+	done
