Consensus: Check leases and the founding under random failures

The oracle did not notice two members that lead at once in different terms, and random runs started only after the founding.

The oracle now checks every millisecond that at most one member claims to lead; a stopped clock proves that it can fail.

--- a/bench/log_bench.cc
+++ b/bench/log_bench.cc
@@ -303,12 +303,17 @@
     auto node = open(machine);
     // The first snapshot is due after one command; the next one after as many
     // bytes as the state has, which the log below does not reach.
+    double longest_tick = 0;
     for (size_t i = 0; i < kRecords + 1; ++i) {
-      if (i % 100 < 2)
+      if (i % 100 < 2) {
+        const Stopwatch tick;
         node->OnTick();
+        longest_tick = std::max(longest_tick, tick.Elapsed());
+      }
       Require(node->Propose(std::string(kCommandBytes, 'x')));
     }
     node->OnTick();
+    ReportFigure("log_longest_tick_ms", longest_tick, "ms");
   }
   std::vector<double> times;
   for (int round = 0; round < 5; ++round) {
--- a/tests/consensus/consensus_property_test.cc
+++ b/tests/consensus/consensus_property_test.cc
@@ -63,6 +63,28 @@
     }
   }
 
+  /// As Step(), without what a founding does not survive by design: the loss of
+  /// a disk. Steps are short, since founding takes few messages.
+  void DisturbFounding(uint64_t seed) {
+    m_random = SeededRandom(seed);
+    switch (m_random.Below(8)) {
+      case 0:
+        return CrashOne();
+      case 1:
+        return StartAll();
+      case 2:
+        return m_cluster.network().Cut(PickNode(), PickNode());
+      case 3:
+        return m_cluster.network().HealAll();
+      case 4:
+        return ChangeWeather();
+      case 5:
+        return m_cluster.Disk(PickNode()).FailSyncAfter(m_random.Below(4));
+      default:
+        return m_cluster.Run(Millis(static_cast<int64_t>(m_random.Below(60))));
+    }
+  }
+
   /// Heals everything and checks that the group works and agrees.
   std::string Finish() {
     m_cluster.network().HealAll();
@@ -247,5 +269,20 @@
   CHECK(is_ok);
 }
 
+// Guards against a founding that crashes, partitions and a bad network stop for
+// good, or that accepts commands before all incarnations are known.
+TEST_CASE("random failures during the founding do not stop it") {
+  const bool is_ok = rc::check([] {
+    const auto steps = *rc::gen::resize(
+        kMaxSteps, rc::gen::arbitrary<std::vector<uint32_t>>());
+    RandomRun run(3, steps.size());
+    for (const uint32_t step : steps)
+      run.DisturbFounding(step);
+    if (const std::string problem = run.Finish(); !problem.empty())
+      RC_FAIL(problem);
+  });
+  CHECK(is_ok);
+}
+
 }  // namespace
 }  // namespace fulmarrock::test
--- a/tests/consensus/oracle_test.cc
+++ b/tests/consensus/oracle_test.cc
@@ -34,6 +34,17 @@
   CHECK(HasViolation(cluster, "two leaders"));
 }
 
+TEST_CASE("the oracle notices a leader that outlasts its quorum") {
+  ConsensusCluster cluster(kThree, 7);
+  cluster.StartAll();
+  REQUIRE(cluster.Commit("x"));
+  const NodeId leader = cluster.Leader();
+  cluster.StopClock(leader);
+  cluster.network().Isolate(leader);
+  cluster.Run(Millis(2000));
+  CHECK(HasViolation(cluster, "lead at the same time"));
+}
+
 TEST_CASE("the oracle notices a lost command when disks ignore syncs") {
   ConsensusCluster cluster(kThree, 4);
   cluster.StartAll();
--- a/tests/support/consensus_cluster.cc
+++ b/tests/support/consensus_cluster.cc
@@ -13,6 +13,12 @@
                            ": " + leader + " and " + node);
 }
 
+void ConsensusOracle::NoteLeading(const std::vector<NodeId>& nodes) {
+  if (nodes.size() > 1)
+    m_violations.push_back(nodes[0] + " and " + nodes[1] +
+                           " lead at the same time");
+}
+
 void ConsensusOracle::NoteApply(const NodeId& node,
                                 const Applied& state,
                                 LogIndex index,
@@ -110,13 +116,14 @@
 
 void ConsensusCluster::Start(const NodeId& node) {
   Running running;
+  running.clock = std::make_unique<NodeClock>(m_clock);
   running.machine = std::make_unique<RecordingStateMachine>(node, m_oracle);
   ConsensusOptions options = m_options;
   options.node = node;
   if (std::find(m_founders.begin(), m_founders.end(), node) != m_founders.end())
     options.initial_members = m_founders;
   Result<std::unique_ptr<ConsensusNode>> opened = ConsensusNode::Open(
-      options, {*running.machine, m_network.TransportOf(node), m_clock,
+      options, {*running.machine, m_network.TransportOf(node), *running.clock,
                 m_random, Disk(node)});
   if (!opened && opened.error().kind == ErrorKind::kCorruption)
     throw std::runtime_error(opened.error().Describe());
@@ -151,10 +158,14 @@
     m_network.DeliverDue();
     const auto now = static_cast<uint64_t>(m_clock.Now().count());
     const auto interval = static_cast<uint64_t>(kTickInterval.count());
+    std::vector<NodeId> leaders;
     for (auto& [node, running] : m_nodes) {
       if (now % interval == running.tick_phase)
         running.node->OnTick();
+      if (running.node->IsLeader())
+        leaders.push_back(node);
     }
+    m_oracle.NoteLeading(leaders);
   }
 }
 
--- a/tests/support/consensus_cluster.h
+++ b/tests/support/consensus_cluster.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -27,6 +28,10 @@
   /// A member acted as leader of a term.
   void NoteLeader(const NodeId& node, Term term);
 
+  /// Members that claim to lead at the same time, whatever their terms. Reads
+  /// at one of them would be old.
+  void NoteLeading(const std::vector<NodeId>& nodes);
+
   /// A member applied a command on top of `state`.
   void NoteApply(const NodeId& node,
                  const Applied& state,
@@ -82,6 +87,18 @@
   std::map<LogIndex, std::string> m_proposals;
 };
 
+/// Clock of one node; stops on request.
+class NodeClock : public Clock {
+ public:
+  explicit NodeClock(const ManualClock& clock) : m_clock(clock) {}
+  Millis Now() const override { return m_stopped_at.value_or(m_clock.Now()); }
+  void Stop() { m_stopped_at = m_clock.Now(); }
+
+ private:
+  const ManualClock& m_clock;
+  std::optional<Millis> m_stopped_at;
+};
+
 /// Real ConsensusNodes over a fake network and fake storage.
 class ConsensusCluster {
  public:
@@ -115,6 +132,8 @@
     return *m_nodes.at(node).machine;
   }
   FakeStorage& Disk(const NodeId& node) { return m_disks[node]; }
+  /// Stops the clock of a running node, which breaks the contract of Clock.
+  void StopClock(const NodeId& node) { m_nodes.at(node).clock->Stop(); }
   FakeNetwork& network() { return m_network; }
   ManualClock& clock() { return m_clock; }
   ConsensusOracle& oracle() { return m_oracle; }
@@ -135,6 +154,7 @@
 
  private:
   struct Running {
+    std::unique_ptr<NodeClock> clock;
     std::unique_ptr<RecordingStateMachine> machine;
     std::unique_ptr<ConsensusNode> node;
     uint64_t tick_phase = 0;
