--- a/source/placement/claim_table.cc
+++ b/source/placement/claim_table.cc
@@ -16,11 +16,12 @@
                      Millis now) {
   Remove(entry.task.task);
   const Resources& declared = entry.task.spec->resources;
-  m_claims.emplace(entry.task.task,
-                   Claim{entry.task.task, worker, entry.customer,
-                         entry.task_class, entry.need, declared, now});
+  m_claims.emplace(
+      entry.task.task,
+      Claim{entry.task.task, worker, entry.customer, entry.task_class,
+            entry.need, declared, entry.task.since, now});
   const auto index = static_cast<size_t>(entry.task_class);
-  m_queue.customer(entry.customer).claimed[index] += declared;
+  m_by_customer[entry.customer].push_back(entry.task.task);
   if (!worker) {
     m_quota_claims.emplace(entry.customer, entry.task_class);
     return;
@@ -36,7 +37,10 @@
   const Claim claim = it->second;
   m_claims.erase(it);
   const auto index = static_cast<size_t>(claim.task_class);
-  m_queue.customer(claim.customer).claimed[index] -= claim.declared;
+  const auto siblings = m_by_customer.find(claim.customer);
+  std::erase(siblings->second, task);
+  if (siblings->second.empty())
+    m_by_customer.erase(siblings);
   m_queue.UnblockCustomer(claim.customer);
   if (!claim.worker) {
     m_quota_claims.erase({claim.customer, claim.task_class});
@@ -59,11 +63,15 @@
 bool ClaimTable::FitsQuota(const PendingEntry& entry) const {
   const CustomerState& customer = m_queue.customer(entry.customer);
   Resources wanted = customer.declared + entry.task.spec->resources;
-  for (size_t i = 0; i <= static_cast<size_t>(entry.task_class); ++i)
-    wanted += customer.claimed[i];
-  const Claim* own = Find(entry.task.task);
-  if (own)
-    wanted -= own->declared;
+  const auto siblings = m_by_customer.find(entry.customer);
+  // Two claims that waited for each other's quota would wait for ever.
+  if (siblings == m_by_customer.end() || Find(entry.task.task))
+    return wanted.FitsIn(customer.quota);
+  for (const TaskId task : siblings->second) {
+    const Claim& claim = *Find(task);
+    if (claim.task_class <= entry.task_class && claim.since <= entry.task.since)
+      wanted += claim.declared;
+  }
   return wanted.FitsIn(customer.quota);
 }
 
@@ -74,6 +82,13 @@
   }
 }
 
+void ClaimTable::RemoveLessUrgent() {
+  for (const Claim& claim : All()) {
+    if (claim.worker && claim.task_class != TaskClass::kUrgent)
+      Remove(claim.task);
+  }
+}
+
 void ClaimTable::RemoveStale(Millis now) {
   for (const Claim& claim : All()) {
     if (!claim.worker)
--- a/source/placement/claim_table.h
+++ b/source/placement/claim_table.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,7 @@
   TaskClass task_class = TaskClass::kBatch;
   Resources need;
   Resources declared;
+  Millis since;
   Millis made;
 };
 
@@ -59,12 +61,15 @@
   }
 
   /// Whether the customer's quota has room for a task beside what runs and what
-  /// is held for others of its class and the classes before it.
+  /// is held for older tasks of its class and the classes before it.
   bool FitsQuota(const PendingEntry& entry) const;
 
   /// Removes the claims on a worker.
   void RemoveOnWorker(WorkerIndex worker);
 
+  /// Removes the claims on workers of all tasks that are not urgent.
+  void RemoveLessUrgent();
+
   /// Removes claims that can no longer be met, and claims of urgent tasks whose
   /// evictions take too long, so that they try another worker.
   void RemoveStale(Millis now);
@@ -81,6 +86,7 @@
   Cluster& m_cluster;
   PendingQueue& m_queue;
   std::map<TaskId, Claim> m_claims;
+  std::unordered_map<CustomerIndex, std::vector<TaskId>> m_by_customer;
   std::set<std::pair<CustomerIndex, TaskClass>> m_quota_claims;
   std::array<size_t, kTaskClassCount> m_counts{};
 };
--- a/source/placement/fair_scheduler.cc
+++ b/source/placement/fair_scheduler.cc
@@ -28,8 +28,8 @@
 // Urgent tasks first wait this long for a task that ends by itself.
 constexpr Millis kEvictAfter{300};
 
-// A running task is charged anew when its measured use leaves the charged size
-// by more than this part.
+// A running task is charged less when its measured use is below the charged
+// size by more than this part. A higher measurement is charged at once.
 constexpr int64_t kRechargeDivisor = 16;
 
 // Part of the distance by which a charged size approaches a lower measurement.
@@ -38,11 +38,11 @@
 int64_t FollowUsage(int64_t charged, int64_t declared, int64_t measured) {
   measured = std::clamp<int64_t>(measured, 0, Resources::kMaxAmount);
   const int64_t wanted = std::max(declared, measured);
-  if (wanted > charged + charged / kRechargeDivisor)
+  if (wanted >= charged)
     return wanted;
   if (wanted < charged - charged / kRechargeDivisor)
     return charged - (charged - wanted) / kChargeDecayDivisor;
-  return std::max(charged, declared);
+  return charged;
 }
 
 size_t MaxClaims(const Cluster& cluster) {
@@ -177,10 +177,10 @@
   m_state->claims.RemoveStale(now);
   for (const OverloadTracker::Hold& hold : m_state->overloads.Release(now))
     m_state->cluster.RemoveClaim(hold.worker, hold.size);
-  PlaceClaimed(limit, now, placements);
-  for (const TaskClass task_class :
-       {TaskClass::kUrgent, TaskClass::kInteractive, TaskClass::kBatch})
-    PlaceClass(task_class, limit, now, placements);
+  PlaceUrgent(limit, now, placements);
+  PlaceClaimed(TaskClass::kBatch, limit, now, placements);
+  PlaceClass(TaskClass::kInteractive, limit, now, placements);
+  PlaceClass(TaskClass::kBatch, limit, now, placements);
   ReserveForWaiting(now);
   return placements;
 }
@@ -365,11 +365,29 @@
   out.push_back({task, m_state->cluster.worker(worker).info.node});
 }
 
-void FairScheduler::PlaceClaimed(size_t limit,
+void FairScheduler::PlaceUrgent(size_t limit,
+                                Millis now,
+                                std::vector<Placement>& out) {
+  PlaceClaimed(TaskClass::kUrgent, limit, now, out);
+  PlaceClass(TaskClass::kUrgent, limit, now, out);
+  if (m_state->claims.CountOfClass(TaskClass::kInteractive) == 0 &&
+      m_state->claims.CountOfClass(TaskClass::kBatch) == 0)
+    return;
+  const std::vector<TaskId> blocked =
+      m_state->queue.BlockedTasks(TaskClass::kUrgent, kMaxUrgentClaims);
+  if (std::all_of(blocked.begin(), blocked.end(),
+                  [&](TaskId task) { return m_state->claims.HasWorker(task); }))
+    return;
+  m_state->claims.RemoveLessUrgent();
+  PlaceClass(TaskClass::kUrgent, limit, now, out);
+}
+
+void FairScheduler::PlaceClaimed(TaskClass last_class,
+                                 size_t limit,
                                  Millis now,
                                  std::vector<Placement>& out) {
   for (const Claim& claim : m_state->claims.Ready()) {
-    if (out.size() >= limit)
+    if (out.size() >= limit || claim.task_class > last_class)
       return;
     const PendingEntry* entry = m_state->queue.Find(claim.task);
     const Worker& worker = m_state->cluster.worker(*claim.worker);
@@ -411,23 +429,27 @@
 std::optional<WorkerIndex> FairScheduler::ChooseWorker(
     const PendingEntry& entry,
     Millis now) {
-  const std::optional<WorkerIndex> probe = ChooseProbe(entry, now);
-  if (probe)
-    return probe;
+  if (entry.task_class == TaskClass::kBatch) {
+    const std::optional<WorkerIndex> probe = ChooseProbe(entry, now);
+    if (probe)
+      return probe;
+  }
   const PlacementRequest request{entry.task.task,
                                  entry.task.spec,
                                  entry.workload,
                                  entry.need,
                                  now,
                                  m_state->queue.HintsFor(entry.need)};
-  return m_state->policies.placement->Choose(m_state->cluster, request);
+  const std::optional<WorkerIndex> chosen =
+      m_state->policies.placement->Choose(m_state->cluster, request);
+  // Other classes serve as probes only if they have no other place.
+  return chosen ? chosen : ChooseProbe(entry, now);
 }
 
 std::optional<WorkerIndex> FairScheduler::ChooseProbe(const PendingEntry& entry,
                                                       Millis now) {
   FailureAttribution& failures = *m_state->policies.failures;
-  if (entry.task_class != TaskClass::kBatch ||
-      failures.IsJobBlamed(entry.task.task.job))
+  if (failures.IsJobBlamed(entry.task.task.job))
     return std::nullopt;
   for (const WorkerIndex index : failures.DueProbes(now)) {
     const Worker& worker = m_state->cluster.worker(index);
--- a/source/placement/fair_scheduler.h
+++ b/source/placement/fair_scheduler.h
@@ -91,7 +91,13 @@
              Millis now,
              std::vector<Placement>& out);
   void Account(const PendingEntry& entry, WorkerIndex worker, Millis started);
-  void PlaceClaimed(size_t limit, Millis now, std::vector<Placement>& out);
+  /// Places urgent tasks, also where others hold a claim.
+  void PlaceUrgent(size_t limit, Millis now, std::vector<Placement>& out);
+  /// Places claimed tasks up to this class.
+  void PlaceClaimed(TaskClass last_class,
+                    size_t limit,
+                    Millis now,
+                    std::vector<Placement>& out);
   void PlaceClass(TaskClass task_class,
                   size_t limit,
                   Millis now,
--- a/source/placement/pending_queue.h
+++ b/source/placement/pending_queue.h
@@ -34,8 +34,6 @@
   bool allows_urgent = false;
   /// Declared sizes of all running tasks, for the quota.
   Resources declared;
-  /// Declared sizes by class of waiting tasks for which quota is held.
-  std::array<Resources, kTaskClassCount> claimed;
   /// Whether a group of the customer may be blocked on the quota.
   bool is_over_quota = false;
   /// Charged sizes of the running tasks by class, for the fair share.
