Placement: Serve claims on one worker in order

At a full cluster some urgent tasks waited 5 s: a later claim of a batch task on the same worker took the first part of the capacity that was being evicted for an urgent one, whose claim then ran into its timeout. A claim is now ready only if the worker's free and evicted capacity also holds the earlier ones.

Tried without effect on the 5 s: a limit of half instead of a quarter of the batch tasks per 10 s.

--- a/source/placement/claim_table.cc
+++ b/source/placement/claim_table.cc
@@ -101,18 +101,27 @@
 }
 
 std::vector<Claim> ClaimTable::Ready() const {
-  std::vector<Claim> ready;
-  for (const auto& [task, claim] : m_claims) {
-    if (claim.worker &&
-        claim.need.FitsIn(m_cluster.worker(*claim.worker).Free()))
-      ready.push_back(claim);
-  }
-  std::stable_sort(ready.begin(), ready.end(),
+  std::vector<Claim> claims = All();
+  std::stable_sort(claims.begin(), claims.end(),
                    [](const Claim& left, const Claim& right) {
                      return std::tie(left.task_class, left.made) <
                             std::tie(right.task_class, right.made);
                    });
-  return ready;
+  // A later claim must not take the first part of what an earlier one still
+  // collects.
+  std::unordered_map<WorkerIndex, Resources> earlier;
+  std::erase_if(claims, [&](const Claim& claim) {
+    if (!claim.worker)
+      return true;
+    const Worker& worker = m_cluster.worker(*claim.worker);
+    Resources& before = earlier[*claim.worker];
+    const bool is_ready =
+        claim.need.FitsIn(worker.Free()) &&
+        (before + claim.need).FitsIn(worker.Free() + worker.evicting);
+    before += claim.need;
+    return !is_ready;
+  });
+  return claims;
 }
 
 std::vector<Claim> ClaimTable::All() const {
