Placement: Try tasks with held quota by themselves

Deeper random runs (3,000 cases, seeds 11 and 13) found two more faults: a task for which quota was held, but which was not the first of its group, was never tried, because the group's turn depends on its first task; and a probe was prepared before the reservations of a quarantined worker were dropped, so that a batch task took the probe from an urgent one. Both are fixed.

--- a/source/placement/fair_scheduler.cc
+++ b/source/placement/fair_scheduler.cc
@@ -173,10 +173,10 @@
   std::vector<Placement> placements;
   ReenterChanged();
   CheckPlaceable();
-  UnblockForProbes(now);
   m_state->claims.RemoveStale(now);
   for (const OverloadTracker::Hold& hold : m_state->overloads.Release(now))
     m_state->cluster.RemoveClaim(hold.worker, hold.size);
+  UnblockForProbes(now);
   PlaceUrgent(limit, now, placements);
   PlaceClaimed(TaskClass::kBatch, limit, now, placements);
   PlaceClass(TaskClass::kInteractive, limit, now, placements);
@@ -395,6 +395,34 @@
     if (m_state->claims.FitsQuota(*entry) && entry->need.FitsIn(worker.Free()))
       Start(claim.task, *claim.worker, now, out);
   }
+  PlaceQuotaClaimed(last_class, limit, now, out);
+}
+
+// Such a task need not be the first of its group, whose turn the group waits
+// for; it is therefore tried by itself.
+void FairScheduler::PlaceQuotaClaimed(TaskClass last_class,
+                                      size_t limit,
+                                      Millis now,
+                                      std::vector<Placement>& out) {
+  for (const TaskId task : m_state->claims.QuotaReady(last_class)) {
+    if (out.size() >= limit)
+      return;
+    const PendingEntry entry = *m_state->queue.Find(task);
+    // An earlier one may have used the quota up in this round.
+    if (!m_state->claims.FitsQuota(entry))
+      continue;
+    std::optional<WorkerIndex> worker;
+    if (!m_state->queue.IsSizeBlocked(entry.need))
+      worker = ChooseWorker(entry, now);
+    if (worker) {
+      Start(task, *worker, now, out);
+      continue;
+    }
+    m_state->queue.BlockSize(entry.need);
+    const std::optional<WorkerIndex> earliest = FindEarliestWorker(entry, now);
+    if (earliest)
+      m_state->claims.Add(entry, earliest, now);
+  }
 }
 
 void FairScheduler::PlaceClass(TaskClass task_class,
--- a/source/placement/fair_scheduler.h
+++ b/source/placement/fair_scheduler.h
@@ -98,6 +98,11 @@
                     size_t limit,
                     Millis now,
                     std::vector<Placement>& out);
+  /// Places tasks for which quota was held, or lets them wait for a worker.
+  void PlaceQuotaClaimed(TaskClass last_class,
+                         size_t limit,
+                         Millis now,
+                         std::vector<Placement>& out);
   void PlaceClass(TaskClass task_class,
                   size_t limit,
                   Millis now,
--- a/source/placement/pending_queue.cc
+++ b/source/placement/pending_queue.cc
@@ -89,6 +89,11 @@
   m_blocked_sizes.push_back(&size);
 }
 
+bool PendingQueue::IsSizeBlocked(const Resources& need) const {
+  const auto it = m_sizes.find(KeyOf(need));
+  return it != m_sizes.end() && it->second.is_blocked;
+}
+
 void PendingQueue::OnGrowth(WorkerIndex worker, const Resources& usable) {
   for (SizeState* size : m_hinted_sizes) {
     if (size->need.FitsIn(usable) &&
--- a/source/placement/pending_queue.h
+++ b/source/placement/pending_queue.h
@@ -82,6 +82,8 @@
   /// Blocks all tasks of this size until OnGrowth() reports room.
   void BlockSize(const Resources& need);
 
+  bool IsSizeBlocked(const Resources& need) const;
+
   /// Tells that a worker's usable capacity has grown. Unblocks the sizes that
   /// fit and names the worker as the place to look.
   void OnGrowth(WorkerIndex worker, const Resources& usable);
--- a/source/placement/reservation_table.cc
+++ b/source/placement/reservation_table.cc
@@ -124,6 +124,21 @@
   return claims;
 }
 
+std::vector<TaskId> ReservationTable::QuotaReady(TaskClass last_class) const {
+  std::vector<TaskId> ready;
+  for (const auto& [customer, task_class] : m_quota_claims) {
+    if (task_class > last_class)
+      continue;
+    for (const TaskId task : m_by_customer.find(customer)->second) {
+      const Reservation& claim = *Find(task);
+      if (!claim.worker && claim.task_class == task_class &&
+          FitsQuota(*m_queue.Find(task)))
+        ready.push_back(task);
+    }
+  }
+  return ready;
+}
+
 std::vector<Reservation> ReservationTable::All() const {
   std::vector<Reservation> claims;
   claims.reserve(m_claims.size());
--- a/source/placement/reservation_table.h
+++ b/source/placement/reservation_table.h
@@ -77,6 +77,10 @@
   /// Returns the claims whose worker has room now, urgent ones first.
   std::vector<Reservation> Ready() const;
 
+  /// Returns the tasks whose customer's quota has room now and that wait for no
+  /// particular worker.
+  std::vector<TaskId> QuotaReady(TaskClass last_class) const;
+
   /// Returns all claims, ordered by task.
   std::vector<Reservation> All() const;
 
