--- a/source/placement/fair_scheduler.h
+++ b/source/placement/fair_scheduler.h
@@ -91,7 +91,18 @@
              Millis now,
              std::vector<Placement>& out);
   void Account(const PendingEntry& entry, WorkerIndex worker, Millis started);
-  void PlaceClaimed(size_t limit, Millis now, std::vector<Placement>& out);
+  /// Places urgent tasks, also where others hold a claim.
+  void PlaceUrgent(size_t limit, Millis now, std::vector<Placement>& out);
+  /// Places claimed tasks up to this class.
+  void PlaceClaimed(TaskClass last_class,
+                    size_t limit,
+                    Millis now,
+                    std::vector<Placement>& out);
+  /// Places tasks for which quota was held, or lets them wait for a worker.
+  void PlaceQuotaClaimed(TaskClass last_class,
+                         size_t limit,
+                         Millis now,
+                         std::vector<Placement>& out);
   void PlaceClass(TaskClass task_class,
                   size_t limit,
                   Millis now,
