Interactive: Balance by own history and limit bursts at full targets

Retry budgets are per customer, so that one customer's refusals do not use up the retries of others.

--- a/source/agent/request_queue.cc
+++ b/source/agent/request_queue.cc
@@ -9,13 +9,9 @@
 
 std::optional<QueuedRequest> RequestQueue::Push(QueuedRequest request) {
   Band& band = m_bands[static_cast<size_t>(request.forward.request_class)];
-  const auto [it, is_new] = band.flows.try_emplace(request.forward.customer);
-  Flow& flow = it->second;
+  Flow& flow = band[request.forward.customer];
   flow.weight =
       static_cast<double>(std::max<int64_t>(1, request.forward.weight));
-  // An idle customer does not save up service for later.
-  if (is_new || flow.requests.empty())
-    flow.start = std::max(flow.start, band.virtual_time);
   const Millis deadline = request.deadline;
   flow.requests.emplace(deadline, std::move(request));
   ++m_size;
@@ -26,19 +22,18 @@
 
 std::optional<QueuedRequest> RequestQueue::Pop() {
   for (Band& band : m_bands) {
-    Flow* next = nullptr;
-    for (auto& [customer, flow] : band.flows) {
-      if (!flow.requests.empty() && (!next || flow.start < next->start))
-        next = &flow;
-    }
-    if (!next)
+    if (band.empty())
       continue;
-    band.virtual_time = std::max(band.virtual_time, next->start);
-    next->start += 1 / next->weight;
-    QueuedRequest request = std::move(next->requests.begin()->second);
-    next->requests.erase(next->requests.begin());
+    const auto next = std::min_element(
+        band.begin(), band.end(), [](const auto& a, const auto& b) {
+          return WaitingPerWeight(a.second) < WaitingPerWeight(b.second);
+        });
+    auto& requests = next->second.requests;
+    QueuedRequest request = std::move(requests.begin()->second);
+    requests.erase(requests.begin());
+    if (requests.empty())
+      band.erase(next);
     --m_size;
-    ForgetIdleFlows(band);
     return request;
   }
   return std::nullopt;
@@ -65,25 +60,18 @@
   const auto band_index = static_cast<size_t>(request.request_class);
   size_t ahead = 0;
   for (size_t i = 0; i < band_index; ++i) {
-    for (const auto& [customer, flow] : m_bands[i].flows)
+    for (const auto& [customer, flow] : m_bands[i])
       ahead += flow.requests.size();
   }
   const Band& band = m_bands[band_index];
-  const auto own = band.flows.find(request.customer);
-  const double own_count =
-      own == band.flows.end()
-          ? 0
-          : static_cast<double>(own->second.requests.size());
-  const double rounds = (own_count + 1) / static_cast<double>(std::max<int64_t>(
-                                              1, request.weight));
-  // Another customer is served at most its weight's share in the rounds that
-  // pass until the own request is reached.
-  for (const auto& [customer, flow] : band.flows) {
-    const double count = static_cast<double>(flow.requests.size());
-    ahead += static_cast<size_t>(
-        customer == request.customer
-            ? count
-            : std::min(count, std::ceil(rounds * flow.weight)));
+  const auto own = band.find(request.customer);
+  const size_t own_count = own == band.end() ? 0 : own->second.requests.size();
+  const double weight =
+      static_cast<double>(std::max<int64_t>(1, request.weight));
+  for (const auto& [customer, flow] : band) {
+    if (customer == request.customer ||
+        WaitingPerWeight(flow) <= static_cast<double>(own_count + 1) / weight)
+      ahead += flow.requests.size();
   }
   return ahead;
 }
@@ -92,7 +80,7 @@
 std::vector<QueuedRequest> RequestQueue::TakeIf(Predicate predicate) {
   std::vector<QueuedRequest> taken;
   for (Band& band : m_bands) {
-    for (auto& [customer, flow] : band.flows) {
+    for (auto& [customer, flow] : band) {
       for (auto it = flow.requests.begin(); it != flow.requests.end();) {
         if (!predicate(it->second)) {
           ++it;
@@ -103,42 +91,31 @@
         --m_size;
       }
     }
-    ForgetIdleFlows(band);
+    std::erase_if(
+        band, [](const auto& item) { return item.second.requests.empty(); });
   }
   return taken;
 }
 
 QueuedRequest RequestQueue::TakeWorst() {
-  for (size_t i = kBandCount; i-- > 0;) {
-    Flow* worst = nullptr;
-    double worst_share = 0;
-    for (auto& [customer, flow] : m_bands[i].flows) {
-      const double share =
-          static_cast<double>(flow.requests.size()) / flow.weight;
-      if (share > worst_share) {
-        worst = &flow;
-        worst_share = share;
-      }
-    }
-    if (!worst)
-      continue;
-    const auto last = std::prev(worst->requests.end());
-    QueuedRequest request = std::move(last->second);
-    worst->requests.erase(last);
-    --m_size;
-    return request;
-  }
-  return {};
+  const auto band = std::find_if(m_bands.rbegin(), m_bands.rend(),
+                                 [](const Band& b) { return !b.empty(); });
+  const auto worst = std::max_element(
+      band->begin(), band->end(), [](const auto& a, const auto& b) {
+        return WaitingPerWeight(a.second) < WaitingPerWeight(b.second);
+      });
+  auto& requests = worst->second.requests;
+  const auto last = std::prev(requests.end());
+  QueuedRequest request = std::move(last->second);
+  requests.erase(last);
+  if (requests.empty())
+    band->erase(worst);
+  --m_size;
+  return request;
 }
 
-void RequestQueue::ForgetIdleFlows(Band& band) {
-  const bool is_empty = std::all_of(
-      band.flows.begin(), band.flows.end(),
-      [](const auto& item) { return item.second.requests.empty(); });
-  std::erase_if(band.flows, [&](const auto& item) {
-    return item.second.requests.empty() &&
-           (is_empty || item.second.start <= band.virtual_time);
-  });
+double RequestQueue::WaitingPerWeight(const Flow& flow) {
+  return static_cast<double>(flow.requests.size()) / flow.weight;
 }
 
 }  // namespace fulmarrock
--- a/source/agent/request_queue.h
+++ b/source/agent/request_queue.h
@@ -22,16 +22,17 @@
   Millis deadline;
 };
 
-/// Bounded queue. Serves the classes in strict order, the customers of a class
-/// in proportion to their weights (start-time fair queueing) and the requests
-/// of a customer by deadline.
+/// Bounded queue. Serves the classes in strict order; within a class, the
+/// customer with the fewest waiting requests for its weight, and within a
+/// customer the earliest deadline. A customer in a burst thus waits behind its
+/// own requests, not in front of others'.
 class RequestQueue {
  public:
   explicit RequestQueue(size_t capacity) : m_capacity(capacity) {}
 
   /// Adds a request. Returns the one that had to give way if the queue was
-  /// full, which may be the new one: the latest of the customer that occupies
-  /// the most for its weight, in the lowest class present.
+  /// full, which may be the new one: the latest of the customer with the most
+  /// waiting for its weight, in the lowest class present.
   std::optional<QueuedRequest> Push(QueuedRequest request);
 
   /// Takes the request to serve next.
@@ -54,20 +55,15 @@
  private:
   struct Flow {
     double weight = 1;
-    /// Virtual time at which the next request of the flow may start.
-    double start = 0;
     std::multimap<Millis, QueuedRequest> requests;
   };
-  struct Band {
-    double virtual_time = 0;
-    std::map<std::string, Flow, std::less<>> flows;
-  };
+  using Band = std::map<std::string, Flow, std::less<>>;
   static constexpr size_t kBandCount = 3;
 
   template <typename Predicate>
   std::vector<QueuedRequest> TakeIf(Predicate predicate);
   QueuedRequest TakeWorst();
-  static void ForgetIdleFlows(Band& band);
+  static double WaitingPerWeight(const Flow& flow);
 
   size_t m_capacity;
   size_t m_size = 0;
--- a/source/agent/request_server.cc
+++ b/source/agent/request_server.cc
@@ -299,10 +299,10 @@
       hung.push_back(id);
   }
   for (const RequestId& id : hung) {
-    const NodeId entry = m_running[id].entry;
+    const Running running = m_running[id];
     m_running.erase(id);
     m_counters.Add("slot_released_as_hung");
-    Finish(RequestRecords::State::kFinished, entry,
+    Finish(RequestRecords::State::kFinished, running.entry,
            MakeReply(id, Outcome::kOutcomeUnknown,
                      "the target did not answer in time"));
   }
--- a/source/entry/admission_policy.h
+++ b/source/entry/admission_policy.h
@@ -1,7 +1,6 @@
 #ifndef SOURCE_ENTRY_ADMISSION_POLICY_H_
 #define SOURCE_ENTRY_ADMISSION_POLICY_H_
 
-#include <string>
 #include <string_view>
 
 #include "source/base/error.h"
@@ -10,11 +9,14 @@
 
 namespace fulmarrock {
 
-/// What the admission policy learns from the end of a request.
-enum class AdmissionSignal {
-  kServed,
-  kOverloaded,  ///< A target refused it for lack of capacity.
-  kOther,
+/// A request that asks for admission.
+struct AdmissionRequest {
+  std::string_view customer;
+  /// The customer's plan, or null without one.
+  const Plan* plan = nullptr;
+  /// Requests at the service's targets, estimated, per slot.
+  double utilization = 0;
+  Millis now;
 };
 
 /// Decides whether an entry takes a request of a customer.
@@ -24,17 +26,11 @@
 
   /// Counts one more request of the customer, or returns the reason and remedy
   /// of a refusal: kPermissionDenied when repeating is useless, and
-  /// kResourceExhausted when a later try may succeed. `plan` is the customer's,
-  /// or null without one.
-  virtual Result<void> Admit(std::string_view customer,
-                             std::string_view service,
-                             const Plan* plan) = 0;
-
-  /// Counts an admitted request as ended.
-  virtual void OnEnded(std::string_view customer,
-                       std::string_view service,
-                       AdmissionSignal signal,
-                       Millis now) = 0;
+  /// kResourceExhausted when a later try may succeed.
+  virtual Result<void> Admit(const AdmissionRequest& request) = 0;
+
+  /// Counts an admitted request of the customer as ended.
+  virtual void OnEnded(std::string_view customer) = 0;
 };
 
 }  // namespace fulmarrock
--- a/source/entry/entry_role.cc
+++ b/source/entry/entry_role.cc
@@ -2,8 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/entry/burst_admission.h"
 #include "source/entry/load_routing.h"
-#include "source/entry/plan_admission.h"
 
 namespace fulmarrock {
 namespace {
@@ -18,9 +18,11 @@
     routing.data_centre = options.data_centre;
     policies.routing = std::make_unique<LoadRouting>(routing, random);
   }
-  if (!policies.admission)
-    policies.admission =
-        std::make_unique<PlanAdmission>(options.max_in_progress);
+  if (!policies.admission) {
+    BurstAdmission::Options admission;
+    admission.max_total = options.max_in_progress;
+    policies.admission = std::make_unique<BurstAdmission>(admission);
+  }
   if (!policies.retries)
     policies.retries = std::make_unique<RetryBudget>(RetryBudget::Options{});
   return policies;
@@ -83,8 +85,8 @@
       m_dispatcher(MakeDispatcherOptions(m_options),
                    {clock, transport, m_counters, m_ids, m_table,
                     *m_policies.routing, m_outliers, *m_policies.retries},
-                   [this](RequestId id, DispatchResult result) {
-                     OnJobDone(id, std::move(result));
+                   [this](RequestId id, CallerReply reply) {
+                     OnJobDone(id, std::move(reply));
                    }),
       m_keyed(
           MakeKeyedOptions(m_options),
@@ -94,22 +96,21 @@
           m_claims,
           [this](DispatchJob job) { m_dispatcher.Start(std::move(job)); },
           [this](RequestId id, CallerReply reply) {
-            Answer(id, std::move(reply), AdmissionSignal::kOther);
+            Answer(id, std::move(reply));
           }),
       m_next_cleanup(clock.Now()) {}
 
 RequestId EntryRole::Submit(CallerRequest request) {
   const RequestId id = m_ids.Next();
   m_counters.Add("requests");
-  m_callers[id] = {request.customer, request.service,
-                   m_clock.Now() + request.deadline, false};
+  m_callers[id] = {request.customer, m_clock.Now() + request.deadline, false};
   Process(id, request);
   return id;
 }
 
 void EntryRole::Process(RequestId id, const CallerRequest& request) {
   const auto refuse = [&](Outcome outcome, std::string reason) {
-    Answer(id, {outcome, 0, {}, std::move(reason)}, AdmissionSignal::kOther);
+    Answer(id, {outcome, 0, {}, std::move(reason)});
   };
   const std::string fault = FindFault(request);
   if (!fault.empty()) {
@@ -122,8 +123,9 @@
     return;
   }
   const Plan* plan = FindPlan(request.customer);
-  const Result<void> admitted =
-      m_policies.admission->Admit(request.customer, request.service, plan);
+  const Result<void> admitted = m_policies.admission->Admit(
+      {request.customer, plan,
+       m_dispatcher.EstimateUtilization(request.service), m_clock.Now()});
   if (!admitted) {
     m_counters.Add("refused_by_admission");
     refuse(admitted.error().kind == ErrorKind::kPermissionDenied
@@ -227,23 +229,19 @@
           m_clock.Now() >= m_stop_time + m_options.drain_timeout);
 }
 
-void EntryRole::OnJobDone(RequestId id, DispatchResult result) {
+void EntryRole::OnJobDone(RequestId id, CallerReply reply) {
   if (m_keyed.Owns(id))
-    m_keyed.OnJobDone(id, result.reply);
+    m_keyed.OnJobDone(id, reply);
   else
-    Answer(id, std::move(result.reply), result.signal);
+    Answer(id, std::move(reply));
 }
 
-void EntryRole::Answer(RequestId id,
-                       CallerReply reply,
-                       AdmissionSignal signal) {
+void EntryRole::Answer(RequestId id, CallerReply reply) {
   const auto it = m_callers.find(id);
   if (it == m_callers.end())
     return;
-  const Caller& caller = it->second;
-  if (caller.is_admitted)
-    m_policies.admission->OnEnded(caller.customer, caller.service, signal,
-                                  m_clock.Now());
+  if (it->second.is_admitted)
+    m_policies.admission->OnEnded(it->second.customer);
   m_callers.erase(it);
   switch (reply.outcome) {
     case Outcome::kAnswered:
--- a/source/entry/entry_role.h
+++ b/source/entry/entry_role.h
@@ -61,7 +61,6 @@
  private:
   struct Caller {
     std::string customer;
-    std::string service;
     Millis deadline;
     bool is_admitted = false;
   };
@@ -71,8 +70,8 @@
   std::string FindFault(const CallerRequest& request) const;
   const Plan* FindPlan(const std::string& customer) const;
   void Process(RequestId id, const CallerRequest& request);
-  void OnJobDone(RequestId id, DispatchResult result);
-  void Answer(RequestId id, CallerReply reply, AdmissionSignal signal);
+  void OnJobDone(RequestId id, CallerReply reply);
+  void Answer(RequestId id, CallerReply reply);
   void DeliverAnswers();
 
   EntryOptions m_options;
--- a/source/entry/load_routing.h
+++ b/source/entry/load_routing.h
@@ -16,11 +16,11 @@
     std::string data_centre;
     /// Number of random targets compared. Comparing all would send every entry
     /// to the same target while the load reports are old.
-    size_t choices = 4;
+    size_t choices = 8;
     /// Added cost of a target in another data centre: its round trip.
     double distance_ms = 2;
-    /// Age at which a load report counts half.
-    double report_half_life_ms = 200;
+    /// Age at which a load report counts half; about one service time.
+    double report_half_life_ms = 50;
   };
 
   LoadRouting(Options options, RandomSource& random)
--- a/source/entry/plan_admission.h
+++ b/source/entry/plan_admission.h
@@ -16,13 +16,11 @@
   /// `max_total` bounds the memory that requests in progress take.
   explicit PlanAdmission(int64_t max_total) : m_max_total(max_total) {}
 
-  Result<void> Admit(std::string_view customer,
-                     std::string_view service,
-                     const Plan* plan) override;
-  void OnEnded(std::string_view customer,
-               std::string_view service,
-               AdmissionSignal signal,
-               Millis now) override;
+  Result<void> Admit(const AdmissionRequest& request) override;
+  void OnEnded(std::string_view customer) override;
+
+  int64_t CountInProgress(std::string_view customer) const;
+  int64_t CountInProgress() const { return m_total; }
 
  private:
   int64_t m_max_total;
--- a/source/entry/request_dispatcher.cc
+++ b/source/entry/request_dispatcher.cc
@@ -19,7 +19,7 @@
 
 void RequestDispatcher::Start(DispatchJob dispatch_job) {
   const RequestId id = dispatch_job.id;
-  m_parts.retries.OnFresh();
+  m_parts.retries.OnFresh(dispatch_job.request.customer);
   Job& job = m_jobs[id];
   job.job = std::move(dispatch_job);
   std::string obstacle;
@@ -32,6 +32,23 @@
   SendCopy(job, *target);
 }
 
+std::vector<const Target*> RequestDispatcher::FindTargets(
+    const std::string& service) const {
+  return SelectSubset(m_parts.table.FindUsable(service, m_parts.clock.Now()),
+                      m_options.self, m_options.subset_size);
+}
+
+double RequestDispatcher::EstimateUtilization(
+    const std::string& service) const {
+  double requests = 0;
+  double slots = 0;
+  for (const Target* target : FindTargets(service)) {
+    requests += target->own_in_flight + target->OthersInFlight();
+    slots += target->load.slots;
+  }
+  return slots > 0 ? requests / slots : 0;
+}
+
 const Target* RequestDispatcher::ChooseTarget(const Job& job,
                                               std::string& obstacle) {
   const CallerRequest& request = job.job.request;
@@ -48,9 +65,7 @@
                  "' is not known; send the request again later";
     return owner;
   }
-  std::vector<const Target*> targets =
-      SelectSubset(m_parts.table.FindUsable(request.service, now),
-                   m_options.self, m_options.subset_size);
+  std::vector<const Target*> targets = FindTargets(request.service);
   m_parts.outliers.JudgeSpeed(targets, now);
   if (request.is_idempotent && job.tried.empty()) {
     if (const Target* probe = m_parts.outliers.TakeProbe(targets, now))
@@ -94,7 +109,8 @@
   copy.job = job.job.id;
   copy.node = target.node;
   copy.incarnation = target.incarnation;
-  m_parts.table.AddInFlight(target.node, target.incarnation);
+  m_parts.table.AddInFlight(target.node, target.incarnation,
+                            m_parts.clock.Now());
   ScheduleQuery(copy_id, copy, m_options.query_after);
   m_parts.counters.Add("copies_sent");
   m_parts.transport.Send(target.node, forward);
@@ -107,7 +123,8 @@
   const Target* target = ChooseTarget(job, obstacle);
   if (!target)
     return false;
-  if (!m_parts.retries.TryRetry(static_cast<int>(job.tried.size()))) {
+  if (!m_parts.retries.TryRetry(job.job.request.customer,
+                                static_cast<int>(job.tried.size()))) {
     m_parts.counters.Add("retries_over_budget");
     return false;
   }
@@ -140,16 +157,12 @@
       OnCopyAnswered(reply.id, reply);
       break;
     case Outcome::kNotRun:
-    case Outcome::kRefused: {
-      Job& job = m_jobs.at(copy->job);
-      // A target that refuses while it has free slots is not overloaded.
+    case Outcome::kRefused:
+      // A target that refuses while it has free slots is not just full.
       if (reply.load.running < reply.load.slots)
         m_parts.outliers.OnFailure(from, m_parts.clock.Now());
-      else
-        job.signal = AdmissionSignal::kOverloaded;
       OnCopyNotRun(reply.id, reply.reason);
       break;
-    }
     case Outcome::kOutcomeUnknown:
       m_parts.outliers.OnFailure(from, m_parts.clock.Now());
       OnCopyLost(reply.id, reply.reason);
@@ -240,7 +253,6 @@
   CallerReply answer{Outcome::kAnswered, reply.status, reply.body, {}};
   if (reply.status < kServerError) {
     m_parts.outliers.OnSuccess(copy.node, m_parts.clock.Now());
-    job.signal = AdmissionSignal::kServed;
     Finish(job, std::move(answer));
     return;
   }
@@ -292,14 +304,14 @@
     m_parts.transport.Send(m_copies.at(copy_id).node, RequestCancel{copy_id});
     EndCopy(copy_id);
   }
-  const AdmissionSignal signal = job.signal;
   m_jobs.erase(id);
-  m_done(id, {std::move(reply), signal});
+  m_done(id, std::move(reply));
 }
 
 void RequestDispatcher::EndCopy(RequestId copy_id) {
   const auto it = m_copies.find(copy_id);
-  m_parts.table.RemoveInFlight(it->second.node, it->second.incarnation);
+  m_parts.table.RemoveInFlight(it->second.node, it->second.incarnation,
+                               m_parts.clock.Now());
   std::erase(m_jobs.at(it->second.job).open_copies, copy_id);
   m_copies.erase(it);
 }
--- a/source/entry/request_dispatcher.h
+++ b/source/entry/request_dispatcher.h
@@ -13,7 +13,6 @@
 
 #include "source/base/clock.h"
 #include "source/base/counters.h"
-#include "source/entry/admission_policy.h"
 #include "source/entry/caller_sink.h"
 #include "source/entry/outlier_detector.h"
 #include "source/entry/retry_policy.h"
@@ -47,12 +46,6 @@
   int64_t weight = 1;
 };
 
-/// How a job ended.
-struct DispatchResult {
-  CallerReply reply;
-  AdmissionSignal signal = AdmissionSignal::kOther;
-};
-
 /// Sends requests to targets and follows each copy until its fate is known.
 ///
 /// Every copy has an id of its own, and a non-idempotent request has one copy.
@@ -75,7 +68,7 @@
     /// Time reserved for the way of the answer, taken off the deadline.
     Millis reply_margin{20};
   };
-  using Done = std::function<void(RequestId, DispatchResult)>;
+  using Done = std::function<void(RequestId, CallerReply)>;
 
   /// The policies and the table belong to the caller and outlive this object.
   struct Parts {
@@ -102,6 +95,9 @@
 
   void OnTick();
 
+  /// Estimates the requests per slot at the targets this entry uses.
+  double EstimateUtilization(const std::string& service) const;
+
   size_t CountJobs() const { return m_jobs.size(); }
   size_t CountCopies() const { return m_copies.size(); }
 
@@ -121,7 +117,6 @@
     std::vector<NodeId> tried;
     /// Whether a copy that ended may have run.
     bool may_have_run = false;
-    AdmissionSignal signal = AdmissionSignal::kOther;
     /// Answer to fall back on when a retry of a failed request fails too.
     std::optional<CallerReply> failed_answer;
   };
@@ -132,6 +127,7 @@
   };
   using Timers = std::priority_queue<Timer, std::vector<Timer>, std::greater<>>;
 
+  std::vector<const Target*> FindTargets(const std::string& service) const;
   const Target* ChooseTarget(const Job& job, std::string& obstacle);
   void SendCopy(Job& job, const Target& target);
   /// Sends another copy of an idempotent request, if the budget allows it.
--- a/source/entry/retry_policy.cc
+++ b/source/entry/retry_policy.cc
@@ -4,14 +4,22 @@
 
 namespace fulmarrock {
 
-void RetryBudget::OnFresh() {
-  m_saved = std::min(m_options.max_saved, m_saved + m_options.share);
+void RetryBudget::OnFresh(std::string_view customer) {
+  auto it = m_saved.find(customer);
+  if (it == m_saved.end()) {
+    if (m_saved.size() >= m_options.max_customers)
+      return;
+    it = m_saved.emplace(customer, 0).first;
+  }
+  it->second = std::min(m_options.max_saved, it->second + m_options.share);
 }
 
-bool RetryBudget::TryRetry(int attempts) {
-  if (attempts >= m_options.max_attempts || m_saved < 1)
+bool RetryBudget::TryRetry(std::string_view customer, int attempts) {
+  const auto it = m_saved.find(customer);
+  if (it == m_saved.end() || attempts >= m_options.max_attempts ||
+      it->second < 1)
     return false;
-  m_saved -= 1;
+  it->second -= 1;
   return true;
 }
 
--- a/source/entry/target_table.cc
+++ b/source/entry/target_table.cc
@@ -8,6 +8,10 @@
 // Announcements are delayed by far less than the time of this many restarts.
 constexpr size_t kMaxFormerIncarnations = 8;
 
+// Changes of the own requests in progress that are kept per target. Reports
+// arrive more often than that.
+constexpr size_t kMaxHistory = 256;
+
 }  // namespace
 
 int32_t Target::OthersInFlight() const {
@@ -39,6 +43,7 @@
       target.former_incarnations.pop_front();
     target.incarnation = announce.incarnation;
     target.own_in_flight = 0;
+    target.own_history.clear();
     target.load_time = Millis(0);
   }
   target.service = announce.service;
@@ -63,19 +68,39 @@
     return;
   target.load = load;
   target.load_time = now - load.age;
-  target.own_at_load = target.own_in_flight;
+  // Of the own requests, the report contains those that were there when it was
+  // measured; the rest were counted here since.
+  auto& history = target.own_history;
+  while (history.size() > 1 && history[1].first <= target.load_time)
+    history.pop_front();
+  const bool is_covered =
+      !history.empty() && history.front().first <= target.load_time;
+  target.own_at_load =
+      is_covered ? history.front().second : target.own_in_flight;
 }
 
-void TargetTable::AddInFlight(const NodeId& node, Incarnation incarnation) {
+void TargetTable::AddInFlight(const NodeId& node,
+                              Incarnation incarnation,
+                              Millis now) {
   const auto it = m_targets.find(node);
   if (it != m_targets.end() && it->second.incarnation == incarnation)
-    ++it->second.own_in_flight;
+    ChangeInFlight(it->second, 1, now);
 }
 
-void TargetTable::RemoveInFlight(const NodeId& node, Incarnation incarnation) {
+void TargetTable::RemoveInFlight(const NodeId& node,
+                                 Incarnation incarnation,
+                                 Millis now) {
   const auto it = m_targets.find(node);
-  if (it != m_targets.end() && it->second.incarnation == incarnation)
-    it->second.own_in_flight = std::max(0, it->second.own_in_flight - 1);
+  if (it != m_targets.end() && it->second.incarnation == incarnation &&
+      it->second.own_in_flight > 0)
+    ChangeInFlight(it->second, -1, now);
+}
+
+void TargetTable::ChangeInFlight(Target& target, int32_t change, Millis now) {
+  target.own_in_flight += change;
+  target.own_history.emplace_back(now, target.own_in_flight);
+  if (target.own_history.size() > kMaxHistory)
+    target.own_history.pop_front();
 }
 
 std::vector<const Target*> TargetTable::FindUsable(std::string_view service,
--- a/source/entry/target_table.h
+++ b/source/entry/target_table.h
@@ -2,10 +2,12 @@
 #define SOURCE_ENTRY_TARGET_TABLE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "source/base/ids.h"
@@ -27,9 +29,11 @@
   /// Last reported load, and the instant it was measured on the local clock.
   TargetLoad load;
   Millis load_time;
-  /// Own requests in progress there, now and when the load arrived.
+  /// Own requests in progress there, now and when the load was measured.
   int32_t own_in_flight = 0;
   int32_t own_at_load = 0;
+  /// Own requests in progress after each recent change, oldest first.
+  std::deque<std::pair<Millis, int32_t>> own_history;
   /// Incarnations that ended; delayed announcements of them are ignored.
   std::deque<Incarnation> former_incarnations;
 
@@ -61,8 +65,9 @@
               const TargetLoad& load,
               Millis now);
 
-  void AddInFlight(const NodeId& node, Incarnation incarnation);
-  void RemoveInFlight(const NodeId& node, Incarnation incarnation);
+  /// Counts an own request as sent or ended.
+  void AddInFlight(const NodeId& node, Incarnation incarnation, Millis now);
+  void RemoveInFlight(const NodeId& node, Incarnation incarnation, Millis now);
 
   /// Returns the targets of a service that take new work, ordered by name.
   std::vector<const Target*> FindUsable(std::string_view service,
@@ -82,6 +87,7 @@
   const std::map<NodeId, Target>& targets() const { return m_targets; }
 
  private:
+  static void ChangeInFlight(Target& target, int32_t change, Millis now);
   bool IsUsable(const Target& target, Millis now) const;
 
   Options m_options;
