Daemon: Run all roles in one process or in separate ones

The roles, the transport and the HTTP front ends had no program. fulmarrockd wires them: control with its log on a thread of its own, so that syncs do not delay requests, everything else on one loop. SIGTERM stops entry, agent and control in this order and waits for the last answers; a second signal stops at once.

--- a/source/agent/request_server.h
+++ b/source/agent/request_server.h
@@ -70,6 +70,9 @@
   /// zero without recent requests.
   Millis RecentP99() const { return m_latency.P99(m_clock.Now()); }
 
+  /// Number of requests that RecentP99() covers.
+  size_t RecentCount() const { return m_latency.CountAt(m_clock.Now()); }
+
  private:
   struct Running {
     NodeId entry;
--- /dev/null
+++ b/source/daemon/control_host.cc
@@ -0,0 +1,128 @@
+#include "source/daemon/control_host.h"
+
+#include <utility>
+#include <variant>
+
+#include "source/base/seeded_random.h"
+#include "source/base/steady_clock.h"
+#include "source/control/control_member.h"
+#include "source/storage/file_storage.h"
+
+namespace fulmarrock {
+namespace {
+
+template <typename... Types>
+bool IsOneOf(const Message& message) {
+  return (std::holds_alternative<Types>(message) || ...);
+}
+
+/// Whether only entries and agents care for a message; these make up most of
+/// the traffic and need not be copied to the control thread.
+bool IsForOthers(const Message& message) {
+  return IsOneOf<TargetAnnounce, RequestForward, RequestReply, RequestCancel,
+                 RequestQuery, RequestQueryReply, ClaimReply, ClaimOutcomeAck,
+                 ResponseFetch, ResponseFetchReply, WorkerAnnounceAck,
+                 LeaseRenewReply, GrantBatch, StopBatch, TaskEventsAck,
+                 ConfigDelta, ConfigCopy>(message);
+}
+
+}  // namespace
+
+/// Everything that exists between Start() and Stop(), on the control thread.
+struct ControlHost::State {
+  SteadyClock clock;
+  SeededRandom random = SeededRandom::FromSystemEntropy();
+  std::unique_ptr<Storage> storage;
+  std::unique_ptr<ControlMember> member;
+  bool is_failure_reported = false;
+};
+
+ControlHost::ControlHost(EventLoop& loop,
+                         const Settings& settings,
+                         Transport& transport)
+    : m_loop(loop), m_settings(settings), m_transport(loop, transport) {
+  m_thread.RunAndWait(
+      [this] { m_thread.loop().AddTicker([this] { OnTick(); }); });
+}
+
+ControlHost::~ControlHost() {
+  Stop();
+}
+
+Result<void> ControlHost::Start() {
+  Result<void> result;
+  m_thread.RunAndWait([&] { result = Open(); });
+  return result;
+}
+
+Result<void> ControlHost::Open() {
+  m_is_drained = false;
+  auto state = std::make_unique<State>();
+  Result<std::unique_ptr<FileStorage>> storage =
+      FileStorage::OpenFolder(m_settings.data_folder);
+  if (!storage)
+    return tl::make_unexpected(storage.error());
+  state->storage = std::move(*storage);
+  ConsensusOptions options;
+  options.node = m_settings.node;
+  for (const PeerSettings& member : m_settings.control_members)
+    options.initial_members.push_back(member.node);
+  Result<std::unique_ptr<ControlMember>> member = ControlMember::Open(
+      options, {state->clock, m_transport, state->random, *state->storage});
+  if (!member)
+    return tl::make_unexpected(member.error());
+  state->member = std::move(*member);
+  m_state = std::move(state);
+  return {};
+}
+
+void ControlHost::Stop() {
+  m_thread.RunAndWait([this] { m_state.reset(); });
+}
+
+void ControlHost::Deliver(const NodeId& from, const Message& message) {
+  if (IsForOthers(message))
+    return;
+  m_thread.loop().Post([this, from, message] {
+    if (m_state)
+      m_state->member->OnMessage(from, message);
+  });
+}
+
+void ControlHost::OnTick() {
+  if (!m_state)
+    return;
+  m_state->member->OnTick();
+  m_is_drained = m_state->member->IsDrained();
+  const std::optional<Error>& failure = m_state->member->Failure();
+  if (!failure || m_state->is_failure_reported)
+    return;
+  m_state->is_failure_reported = true;
+  m_loop.Post([this, error = *failure] { ReportFailure(error); });
+}
+
+void ControlHost::BeginShutdown() {
+  m_thread.loop().Post([this] {
+    if (m_state)
+      m_state->member->BeginShutdown();
+  });
+}
+
+OperatorService& ControlHost::service() {
+  return m_state->member->role();
+}
+
+void ControlHost::AddDiagnostics(DiagnosticsFrontEnd& diagnostics) {
+  EventLoop& loop = m_thread.loop();
+  diagnostics.AddState("control", loop, [this] { return DumpState(); });
+  diagnostics.AddCounters("control", loop, m_state->member->counters());
+  diagnostics.AddCounters("consensus", loop,
+                          m_state->member->consensus().counters());
+  diagnostics.AddCounters("control_loop", loop, loop.counters());
+}
+
+std::string ControlHost::DumpState() const {
+  return m_state ? m_state->member->DumpState() : "null";
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/daemon/control_host.h
@@ -0,0 +1,65 @@
+#ifndef SOURCE_DAEMON_CONTROL_HOST_H_
+#define SOURCE_DAEMON_CONTROL_HOST_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "source/config/settings.h"
+#include "source/control/operator_service.h"
+#include "source/daemon/posting_transport.h"
+#include "source/net/component.h"
+#include "source/net/diagnostics_front_end.h"
+#include "source/net/loop_thread.h"
+
+namespace fulmarrock {
+
+/// The control role with its consensus member and storage, on a thread of its
+/// own: syncs of the log must not delay requests.
+class ControlHost : public Component {
+ public:
+  /// `loop` is the transport's. Failures of the consensus member are reported
+  /// once, on that loop.
+  ControlHost(EventLoop& loop, const Settings& settings, Transport& transport);
+  ~ControlHost() override;
+
+  std::string Name() const override { return "control"; }
+
+  /// Opens the data folder and recovers the state.
+  Result<void> Start() override;
+  void Stop() override;
+
+  /// Hands a message to the role if it concerns control.
+  void Deliver(const NodeId& from, const Message& message);
+
+  void BeginShutdown();
+  bool IsDrained() const { return m_is_drained; }
+
+  /// Loop on which the service has to be called.
+  EventLoop& service_loop() { return m_thread.loop(); }
+
+  /// Valid while the component runs.
+  OperatorService& service();
+
+  void AddDiagnostics(DiagnosticsFrontEnd& diagnostics);
+
+ private:
+  struct State;
+
+  Result<void> Open();
+  void OnTick();
+  std::string DumpState() const;
+
+  EventLoop& m_loop;
+  const Settings m_settings;
+  PostingTransport m_transport;
+  std::atomic<bool> m_is_drained{false};
+  std::unique_ptr<State> m_state;
+  // Last, so that its thread ends before the state is destroyed.
+  LoopThread m_thread;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_DAEMON_CONTROL_HOST_H_
--- /dev/null
+++ b/source/daemon/daemon.cc
@@ -0,0 +1,239 @@
+#include "source/daemon/daemon.h"
+
+#include <easylogging++.h>
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "source/net/function_component.h"
+
+namespace fulmarrock {
+namespace {
+
+TransportOptions MakeTransportOptions(const Settings& settings) {
+  TransportOptions options;
+  options.self = settings.node;
+  options.listen_address = settings.peer_listen;
+  for (const auto* peers : {&settings.control_members, &settings.entries}) {
+    for (const PeerSettings& peer : *peers) {
+      if (peer.node != settings.node)
+        options.peers[peer.node] = peer.peer_address;
+    }
+  }
+  return options;
+}
+
+HttpServerOptions MakeServerOptions(const Settings& settings) {
+  HttpServerOptions options;
+  options.address = settings.http_listen;
+  return options;
+}
+
+std::map<NodeId, std::string> HttpAddresses(const Settings& settings) {
+  std::map<NodeId, std::string> addresses;
+  for (const PeerSettings& member : settings.control_members)
+    addresses[member.node] = member.http_address;
+  return addresses;
+}
+
+void LogComponent(const std::string& name, const Error* failure) {
+  if (failure)
+    LOG(ERROR) << name << " failed: " << failure->Describe();
+  else
+    LOG(INFO) << name << " started";
+}
+
+}  // namespace
+
+Daemon::Daemon(const Settings& settings)
+    : m_settings(settings),
+      m_signals(m_loop, [this] { OnStopSignal(); }),
+      m_server(m_loop, MakeServerOptions(settings)),
+      m_diagnostics(m_loop, m_server),
+      m_transport(m_loop,
+                  MakeTransportOptions(settings),
+                  m_random,
+                  [this](const NodeId& from, const Message& message) {
+                    OnMessage(from, message);
+                  }),
+      m_supervisor(m_loop, "daemon", Supervisor::Options{}, &LogComponent) {
+  BuildComponents();
+  m_loop.AddTicker([this] { OnTick(); });
+}
+
+int Daemon::Run() {
+  const Result<void> started = m_supervisor.Start();
+  if (!started) {
+    LOG(ERROR) << "cannot start: " << started.error().Describe();
+    return 1;
+  }
+  LOG(INFO) << m_settings.node << " accepts messages on "
+            << m_transport.address() << " and HTTP on " << m_server.address();
+  m_loop.Run();
+  m_supervisor.Stop();
+  LOG(INFO) << m_settings.node << " stopped";
+  return m_exit_code;
+}
+
+void Daemon::BuildComponents() {
+  m_supervisor.Add(std::make_unique<FunctionComponent>(
+      "transport", [this] { return m_transport.Start(); },
+      [this] { m_transport.Stop(); }));
+  if (m_settings.runs_control) {
+    auto control =
+        std::make_unique<ControlHost>(m_loop, m_settings, m_transport);
+    m_control = control.get();
+    m_supervisor.Add(std::move(control));
+    // A failed disk or a damaged log needs a person. Starting again by itself
+    // could take unsynced bytes in the page cache for durable ones.
+    m_control->SetFailureHandler([this](const Error& error) {
+      LOG(ERROR) << "control failed: " << error.Describe();
+      m_exit_code = 1;
+      BeginStop("control failed");
+    });
+  }
+  m_supervisor.Add(std::make_unique<FunctionComponent>(
+      "roles", [this] { return StartRoles(); }, [this] { StopRoles(); }));
+  m_supervisor.Add(std::make_unique<FunctionComponent>(
+      "http", [this] { return m_server.Start(); },
+      [this] { m_server.Stop(); }));
+}
+
+Result<void> Daemon::StartRoles() {
+  if (m_settings.runs_entry) {
+    m_callers = std::make_unique<CallerFrontEnd>(m_clock, m_server);
+    EntryOptions options;
+    options.id = m_settings.node;
+    options.incarnation = m_random.Next() | 1;
+    options.data_centre = m_settings.data_centre;
+    for (const PeerSettings& member : m_settings.control_members)
+      options.control_members.push_back(member.node);
+    m_entry = std::make_unique<EntryRole>(std::move(options), m_clock,
+                                          m_transport, m_random, *m_callers);
+    m_callers->SetSubmit([this](CallerRequest request) {
+      return m_entry->Submit(std::move(request));
+    });
+  }
+  if (m_settings.runs_agent) {
+    m_agent =
+        std::make_unique<AgentHost>(m_loop, m_settings, m_transport.address(),
+                                    m_clock, m_transport, m_random);
+  }
+  if (m_control) {
+    m_operators = std::make_unique<OperatorFrontEnd>(
+        m_control->service(), m_control->service_loop(),
+        HttpAddresses(m_settings), m_server);
+  }
+  AddDiagnostics();
+  return {};
+}
+
+void Daemon::StopRoles() {
+  m_agent.reset();
+  m_entry.reset();
+}
+
+void Daemon::AddDiagnostics() {
+  m_diagnostics.AddState("transport", m_loop,
+                         [this] { return m_transport.DumpState(); });
+  m_diagnostics.AddState("components", m_loop,
+                         [this] { return m_supervisor.DumpState(); });
+  m_diagnostics.AddCounters("transport", m_loop, m_transport.counters());
+  m_diagnostics.AddCounters("http", m_loop, m_server.counters());
+  m_diagnostics.AddCounters("loop", m_loop, m_loop.counters());
+  if (m_entry) {
+    m_diagnostics.AddState("entry", m_loop,
+                           [this] { return m_entry->DumpState(); });
+    m_diagnostics.AddCounters("entry", m_loop, m_entry->counters());
+    m_diagnostics.AddMetrics(m_loop, [this] { return m_callers->Metrics(); });
+  }
+  if (m_agent)
+    m_agent->AddDiagnostics(m_diagnostics);
+  if (m_control) {
+    m_control->AddDiagnostics(m_diagnostics);
+    m_diagnostics.AddCounters("operators", m_control->service_loop(),
+                              m_operators->counters());
+  }
+}
+
+void Daemon::OnMessage(const NodeId& from, const Message& message) {
+  if (m_entry)
+    m_entry->OnMessage(from, message);
+  if (m_agent)
+    m_agent->role().OnMessage(from, message);
+  if (m_control)
+    m_control->Deliver(from, message);
+}
+
+void Daemon::OnTick() {
+  if (m_entry)
+    m_entry->OnTick();
+  if (m_agent)
+    m_agent->role().OnTick();
+  if (m_phase == StopPhase::kNone)
+    return;
+  if (m_clock.Now() >= m_stop_limit) {
+    LOG(WARNING) << "the planned stop reached its limit of "
+                 << m_settings.shutdown_limit.count() << " ms";
+    Finish(1);
+    return;
+  }
+  if (!IsPhaseDone())
+    return;
+  if (m_phase == StopPhase::kReplies)
+    Finish(m_exit_code);
+  else
+    EnterPhase(static_cast<StopPhase>(static_cast<int>(m_phase) + 1));
+}
+
+void Daemon::OnStopSignal() {
+  if (m_phase == StopPhase::kNone) {
+    BeginStop("signal");
+    return;
+  }
+  LOG(WARNING) << "second signal, stopping at once";
+  Finish(1);
+}
+
+void Daemon::BeginStop(const std::string& reason) {
+  if (m_phase != StopPhase::kNone)
+    return;
+  LOG(INFO) << "planned stop begins: " << reason;
+  m_diagnostics.SetStopping();
+  m_stop_limit = m_clock.Now() + m_settings.shutdown_limit;
+  EnterPhase(StopPhase::kEntry);
+}
+
+void Daemon::EnterPhase(StopPhase phase) {
+  m_phase = phase;
+  if (phase == StopPhase::kEntry && m_entry)
+    m_entry->BeginShutdown();
+  if (phase == StopPhase::kAgent && m_agent)
+    m_agent->role().BeginShutdown();
+  if (phase == StopPhase::kControl && m_control)
+    m_control->BeginShutdown();
+}
+
+bool Daemon::IsPhaseDone() const {
+  switch (m_phase) {
+    case StopPhase::kNone:
+      return false;
+    case StopPhase::kEntry:
+      return !m_entry || m_entry->IsDrained();
+    case StopPhase::kAgent:
+      return !m_agent || m_agent->role().IsDrained();
+    case StopPhase::kControl:
+      return !m_control || m_control->IsDrained();
+    case StopPhase::kReplies:
+      return m_server.open_calls() == 0;
+  }
+  return true;
+}
+
+void Daemon::Finish(int exit_code) {
+  m_exit_code = exit_code;
+  m_loop.Stop();
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/daemon/service_latency_probe.h
@@ -0,0 +1,41 @@
+#ifndef SOURCE_DAEMON_SERVICE_LATENCY_PROBE_H_
+#define SOURCE_DAEMON_SERVICE_LATENCY_PROBE_H_
+
+#include <optional>
+
+#include "source/agent/latency_probe.h"
+#include "source/agent/request_server.h"
+#include "source/base/clock.h"
+
+namespace fulmarrock {
+
+/// Latency of the target beside the agent, for throttling its neighbours.
+class ServiceLatencyProbe : public LatencyProbe {
+ public:
+  /// The references outlive the probe.
+  ServiceLatencyProbe(const Clock& clock,
+                      const RequestServer& server,
+                      Millis objective)
+      : m_clock(clock), m_server(server), m_objective(objective) {}
+
+  /// Computes a new sample at most ten times a second, since a percentile costs
+  /// a pass over the window.
+  std::optional<LatencySample> Read() const override {
+    const Millis now = m_clock.Now();
+    if (!m_sample || now - m_sample->measured_at >= Millis(100)) {
+      m_sample = LatencySample{m_server.RecentP99(), m_objective, now,
+                               static_cast<int64_t>(m_server.RecentCount())};
+    }
+    return m_sample;
+  }
+
+ private:
+  const Clock& m_clock;
+  const RequestServer& m_server;
+  const Millis m_objective;
+  mutable std::optional<LatencySample> m_sample;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_DAEMON_SERVICE_LATENCY_PROBE_H_
--- a/source/net/caller_front_end.cc
+++ b/source/net/caller_front_end.cc
@@ -212,7 +212,8 @@
   waiting.responder.Respond(std::move(response));
 }
 
-void CallerFrontEnd::AppendMetrics(std::string& text) const {
+std::string CallerFrontEnd::Metrics() const {
+  std::string text;
   for (const auto& [outcome, count] : m_outcomes) {
     text += "fulmarrock_caller_replies{outcome=\"" +
             std::string(ToString(outcome)) + "\"} " + std::to_string(count) +
@@ -224,6 +225,7 @@
         "class=\"" + std::string(ToString(request_class)) + "\"", histogram,
         text);
   }
+  return text;
 }
 
 }  // namespace fulmarrock
--- a/source/net/caller_front_end.h
+++ b/source/net/caller_front_end.h
@@ -31,9 +31,9 @@
   /// Requests handed to the entry and not answered yet.
   size_t waiting_count() const { return m_waiting.size(); }
 
-  /// Appends the latency of answered requests by class and the counts by
+  /// Returns the latency of answered requests by class and the counts by
   /// outcome, in the text exposition format.
-  void AppendMetrics(std::string& text) const;
+  std::string Metrics() const;
 
  private:
   struct Waiting {
--- a/source/net/diagnostics_front_end.cc
+++ b/source/net/diagnostics_front_end.cc
@@ -1,76 +1,107 @@
 #include "source/net/diagnostics_front_end.h"
 
 #include <map>
+#include <sstream>
+#include <utility>
 
 #include "source/net/json_response.h"
 
 namespace fulmarrock {
+namespace {
 
-DiagnosticsFrontEnd::DiagnosticsFrontEnd(HttpServer& server) {
-  server.Route(
-      "GET", "/dump",
-      [this](const HttpRequest&, const HttpServer::Responder& responder) {
-        responder.Respond(MakeJsonResponse(Dump()));
-      });
-  server.Route(
-      "GET", "/metrics",
-      [this](const HttpRequest&, const HttpServer::Responder& responder) {
-        HttpResponse response;
-        response.content_type = "text/plain; version=0.0.4";
-        response.body = Metrics();
-        responder.Respond(std::move(response));
-      });
+/// Joins metrics so that all lines of one name stand together, as the text
+/// exposition format demands; parts may use the same counter names.
+std::string GroupByName(const std::vector<std::string>& texts) {
+  std::map<std::string, std::string> lines_by_name;
+  for (const std::string& text : texts) {
+    std::istringstream stream(text);
+    for (std::string line; std::getline(stream, line);)
+      lines_by_name[line.substr(0, line.find('{'))] += line + "\n";
+  }
+  std::string joined;
+  for (const auto& [name, lines] : lines_by_name)
+    joined += lines;
+  return joined;
+}
+
+}  // namespace
+
+DiagnosticsFrontEnd::DiagnosticsFrontEnd(EventLoop& loop, HttpServer& server)
+    : m_loop(loop) {
+  using Respond = HttpServer::Responder;
   server.Route(
-      "GET", "/healthz",
-      [this](const HttpRequest&, const HttpServer::Responder& responder) {
-        HttpResponse response;
-        response.status = m_is_stopping ? 503 : 200;
-        response.body = m_is_stopping ? R"({"state":"stopping"})"
-                                      : R"({"state":"running"})";
-        responder.Respond(std::move(response));
+      "GET", "/dump", [this](const HttpRequest&, const Respond& responder) {
+        Gather(m_states, [this, responder](const auto& texts) {
+          std::string json = "{";
+          for (size_t i = 0; i < texts.size(); ++i) {
+            json +=
+                (i > 0 ? ",\"" : "\"") + m_states[i].name + "\":" + texts[i];
+          }
+          responder.Respond(MakeJsonResponse(json + "}\n"));
+        });
       });
+  server.Route("GET", "/metrics",
+               [this](const HttpRequest&, const Respond& responder) {
+                 Gather(m_metrics, [responder](const auto& texts) {
+                   HttpResponse response;
+                   response.content_type = "text/plain; version=0.0.4";
+                   response.body = GroupByName(texts);
+                   responder.Respond(std::move(response));
+                 });
+               });
+  server.Route("GET", "/healthz",
+               [this](const HttpRequest&, const Respond& responder) {
+                 HttpResponse response;
+                 response.status = m_is_stopping ? 503 : 200;
+                 response.body = m_is_stopping ? R"({"state":"stopping"})"
+                                               : R"({"state":"running"})";
+                 responder.Respond(std::move(response));
+               });
 }
 
 void DiagnosticsFrontEnd::AddState(std::string name,
-                                   std::function<std::string()> dump) {
-  m_states.emplace_back(std::move(name), std::move(dump));
+                                   EventLoop& loop,
+                                   TextFunction dump) {
+  m_states.push_back({std::move(name), &loop, std::move(dump)});
 }
 
-void DiagnosticsFrontEnd::AddCounters(std::string part,
-                                      const Counters& counters) {
-  m_counters.emplace_back(std::move(part), &counters);
-}
-
-void DiagnosticsFrontEnd::AddMetrics(
-    std::function<void(std::string& text)> append) {
-  m_metrics.push_back(std::move(append));
+void DiagnosticsFrontEnd::AddMetrics(EventLoop& loop, TextFunction text) {
+  m_metrics.push_back({"", &loop, std::move(text)});
 }
 
-std::string DiagnosticsFrontEnd::Dump() const {
-  std::string json = "{";
-  for (const auto& [name, dump] : m_states) {
-    if (json.size() > 1)
-      json += ",";
-    json += "\"" + name + "\":" + dump();
-  }
-  return json + "}\n";
+void DiagnosticsFrontEnd::AddCounters(std::string part,
+                                      EventLoop& loop,
+                                      const Counters& counters) {
+  AddMetrics(loop, [part = std::move(part), &counters] {
+    std::string text;
+    for (const auto& [name, value] : counters.values()) {
+      text += "fulmarrock_" + name + "{part=\"" + part + "\"} " +
+              std::to_string(value) + "\n";
+    }
+    return text;
+  });
 }
 
-std::string DiagnosticsFrontEnd::Metrics() const {
-  // The format wants all values of one name together.
-  std::map<std::string, std::string> lines;
-  for (const auto& [part, counters] : m_counters) {
-    for (const auto& [name, value] : counters->values()) {
-      lines[name] += "fulmarrock_" + name + "{part=\"" + part + "\"} " +
-                     std::to_string(value) + "\n";
+void DiagnosticsFrontEnd::Gather(const std::vector<Part>& parts,
+                                 Finish finish) {
+  auto gathering = std::make_shared<Gathering>();
+  gathering->texts.resize(parts.size());
+  gathering->missing = parts.size();
+  for (size_t i = 0; i < parts.size(); ++i) {
+    const auto deliver = [gathering, finish, i](std::string text) {
+      gathering->texts[i] = std::move(text);
+      if (--gathering->missing == 0)
+        finish(gathering->texts);
+    };
+    const Part& part = parts[i];
+    if (part.loop == &m_loop) {
+      deliver(part.text());
+      continue;
     }
+    part.loop->Post([&loop = m_loop, deliver, text = part.text] {
+      loop.Post([deliver, result = text()] { deliver(result); });
+    });
   }
-  std::string text;
-  for (const auto& [name, values] : lines)
-    text += values;
-  for (const auto& append : m_metrics)
-    append(text);
-  return text;
 }
 
 }  // namespace fulmarrock
--- a/source/net/diagnostics_front_end.h
+++ b/source/net/diagnostics_front_end.h
@@ -2,39 +2,56 @@
 #define SOURCE_NET_DIAGNOSTICS_FRONT_END_H_
 
 #include <functional>
+#include <memory>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "source/base/counters.h"
+#include "source/net/event_loop.h"
 #include "source/net/http_server.h"
 
 namespace fulmarrock {
 
-/// Serves GET /dump, GET /metrics and GET /healthz of a process.
+/// Serves GET /dump, GET /metrics and GET /healthz of a process. Parts that
+/// live on other loops are asked there, so that a slow one delays only the
+/// answer.
 class DiagnosticsFrontEnd {
  public:
-  explicit DiagnosticsFrontEnd(HttpServer& server);
+  using TextFunction = std::function<std::string()>;
 
-  /// Adds a part of the state dump; `dump` returns JSON.
-  void AddState(std::string name, std::function<std::string()> dump);
+  /// `loop` is the loop of the server.
+  DiagnosticsFrontEnd(EventLoop& loop, HttpServer& server);
 
-  /// Adds counters, which appear as fulmarrock_NAME with the given part label.
-  void AddCounters(std::string part, const Counters& counters);
+  /// Adds a part of the state dump; `dump` runs on `loop` and returns JSON.
+  void AddState(std::string name, EventLoop& loop, TextFunction dump);
 
-  /// Adds text in the exposition format.
-  void AddMetrics(std::function<void(std::string& text)> append);
+  /// Adds metrics; `text` runs on `loop` and returns the exposition format.
+  void AddMetrics(EventLoop& loop, TextFunction text);
+
+  /// Adds counters, which appear as fulmarrock_NAME with the part as a label.
+  void AddCounters(std::string part, EventLoop& loop, const Counters& counters);
 
   /// Makes GET /healthz answer 503, so that load balancers look elsewhere.
   void SetStopping() { m_is_stopping = true; }
 
  private:
-  std::string Dump() const;
-  std::string Metrics() const;
-
-  std::vector<std::pair<std::string, std::function<std::string()>>> m_states;
-  std::vector<std::pair<std::string, const Counters*>> m_counters;
-  std::vector<std::function<void(std::string&)>> m_metrics;
+  struct Part {
+    std::string name;
+    EventLoop* loop;
+    TextFunction text;
+  };
+  struct Gathering {
+    std::vector<std::string> texts;
+    size_t missing;
+  };
+  using Finish = std::function<void(const std::vector<std::string>& texts)>;
+
+  /// Calls `finish` on the server's loop with the texts of all parts.
+  void Gather(const std::vector<Part>& parts, Finish finish);
+
+  EventLoop& m_loop;
+  std::vector<Part> m_states;
+  std::vector<Part> m_metrics;
   bool m_is_stopping = false;
 };
 
--- a/source/net/event_loop.cc
+++ b/source/net/event_loop.cc
@@ -45,6 +45,7 @@
 
 void EventLoop::Run() {
   m_is_stopping = false;
+  m_thread = std::this_thread::get_id();
   while (!m_is_stopping) {
     Wait(PollTimeout());
     RunTick();
@@ -54,6 +55,11 @@
   RunPosted();
 }
 
+bool EventLoop::IsOnLoopThread() const {
+  const std::thread::id thread = m_thread;
+  return thread == std::thread::id() || thread == std::this_thread::get_id();
+}
+
 void EventLoop::Stop() {
   Post([this] { m_is_stopping = true; });
 }
--- a/source/net/event_loop.h
+++ b/source/net/event_loop.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <thread>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -42,6 +43,10 @@
   /// Runs a function on the loop's thread, in the order of posting.
   void Post(Function function);
 
+  /// Whether the caller is on the thread that ran the loop last, or the loop
+  /// never ran.
+  bool IsOnLoopThread() const;
+
   /// Calls `function` whenever one of the EPOLL* events holds. Replaces an
   /// earlier watch of the same descriptor.
   void Watch(int fd, uint32_t epoll_events, FdFunction function);
@@ -76,6 +81,7 @@
   UniqueFd m_epoll;
   UniqueFd m_wakeup;
   std::atomic<bool> m_is_stopping{false};
+  std::atomic<std::thread::id> m_thread;
 
   std::mutex m_posted_mutex;
   std::vector<Function> m_posted;
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -185,6 +185,12 @@
 };
 
 void HttpServer::Responder::Respond(HttpResponse response) const {
+  if (!m_loop->IsOnLoopThread()) {
+    m_loop->Post([self = *this, response = std::move(response)]() mutable {
+      self.Respond(std::move(response));
+    });
+    return;
+  }
   const std::shared_ptr<Call> call = m_call.lock();
   if (!call || call->is_answered)
     return;
@@ -255,10 +261,11 @@
   const std::vector<std::shared_ptr<Call>> calls(m_calls.begin(),
                                                  m_calls.end());
   for (const std::shared_ptr<Call>& call : calls) {
-    Responder(call).Respond(
-        MakeErrorResponse(503, {ErrorKind::kUnavailable,
-                                "the process stops before the answer is known",
-                                "send the request to another process"}));
+    Responder(m_loop, call)
+        .Respond(MakeErrorResponse(
+            503, {ErrorKind::kUnavailable,
+                  "the process stops before the answer is known",
+                  "send the request to another process"}));
   }
   MHD_run(m_daemon);
   m_loop.CancelTimer(m_timer);
@@ -276,14 +283,15 @@
     is_path_known = true;
     if (route.method != call->request.method)
       continue;
-    route.handler(std::move(call->request), Responder(call));
+    route.handler(std::move(call->request), Responder(m_loop, call));
     return;
   }
   m_counters.Add("http_unknown_paths");
-  Responder(call).Respond(MakeErrorResponse(
-      is_path_known ? 405 : 404,
-      {ErrorKind::kNotFound, "no such path or method here",
-       "see the interface pages for the paths of each role"}));
+  Responder(m_loop, call)
+      .Respond(MakeErrorResponse(
+          is_path_known ? 405 : 404,
+          {ErrorKind::kNotFound, "no such path or method here",
+           "see the interface pages for the paths of each role"}));
 }
 
 void HttpServer::ScheduleRun() {
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -29,19 +29,22 @@
   unsigned idle_timeout_seconds = 120;
 };
 
-/// HTTP/1.1 server driven by an event loop; all calls come on its thread.
+/// HTTP/1.1 server driven by an event loop; all its functions and handlers run
+/// on the loop's thread.
 class HttpServer {
  public:
   class Call;
 
-  /// Answers one request, now or later. Copies share the request; only the
-  /// first answer counts, and an answer to a caller that left is counted.
+  /// Answers one request, now or later, from any thread. Copies share the
+  /// request; only the first answer counts. Must not outlive the loop.
   class Responder {
    public:
-    explicit Responder(std::weak_ptr<Call> call) : m_call(std::move(call)) {}
+    Responder(EventLoop& loop, std::weak_ptr<Call> call)
+        : m_loop(&loop), m_call(std::move(call)) {}
     void Respond(HttpResponse response) const;
 
    private:
+    EventLoop* m_loop;
     std::weak_ptr<Call> m_call;
   };
 
--- a/source/net/operator_front_end.cc
+++ b/source/net/operator_front_end.cc
@@ -29,38 +29,42 @@
 }  // namespace
 
 OperatorFrontEnd::OperatorFrontEnd(OperatorService& service,
+                                   EventLoop& service_loop,
                                    std::map<NodeId, std::string> addresses,
                                    HttpServer& server)
-    : m_service(service), m_addresses(std::move(addresses)) {
+    : m_service(service),
+      m_loop(service_loop),
+      m_addresses(std::move(addresses)) {
   using Method = void (OperatorFrontEnd::*)(const HttpRequest&, const Respond&);
   const auto route = [&](const char* method, std::string_view path,
                          Method handler) {
-    server.Route(
-        method, std::string(path),
-        [this, handler](const HttpRequest& request, const Respond& responder) {
-          (this->*handler)(request, responder);
-        });
+    server.Route(method, std::string(path),
+                 [this, handler](HttpRequest request, Respond responder) {
+                   m_loop.Post([this, handler, request = std::move(request),
+                                responder = std::move(responder)] {
+                     (this->*handler)(request, responder);
+                   });
+                 });
   };
   route("POST", "/v1/configuration", &OperatorFrontEnd::Apply);
+  route("GET", "/v1/configuration", &OperatorFrontEnd::GetConfiguration);
+  route("GET", "/v1/status", &OperatorFrontEnd::GetStatus);
   route("POST", "/v1/jobs", &OperatorFrontEnd::Submit);
-  route("POST", "/v1/jobs/cancel", &OperatorFrontEnd::Cancel);
+  route("GET", "/v1/jobs", &OperatorFrontEnd::List);
   route("GET", kJobPrefix, &OperatorFrontEnd::Show);
+  route("POST", "/v1/jobs/cancel", &OperatorFrontEnd::Cancel);
   route("POST", kWorkerPrefix, &OperatorFrontEnd::Drain);
   route("POST", "/v1/members", &OperatorFrontEnd::AddMember);
   route("DELETE", kMemberPrefix, &OperatorFrontEnd::RemoveMember);
-  server.Route("GET", "/v1/jobs",
-               [this](const HttpRequest& request, const Respond& responder) {
-                 List(request, responder);
-               });
-  server.Route(
-      "GET", "/v1/configuration",
-      [this](const HttpRequest&, const Respond& responder) {
-        responder.Respond(Answer(ToJson(m_service.GetConfiguration())));
-      });
-  server.Route("GET", "/v1/status",
-               [this](const HttpRequest&, const Respond& responder) {
-                 responder.Respond(Answer(ToJson(m_service.GetStatus())));
-               });
+}
+
+void OperatorFrontEnd::GetConfiguration(const HttpRequest&,
+                                        const Respond& responder) {
+  responder.Respond(Answer(ToJson(m_service.GetConfiguration())));
+}
+
+void OperatorFrontEnd::GetStatus(const HttpRequest&, const Respond& responder) {
+  responder.Respond(Answer(ToJson(m_service.GetStatus())));
 }
 
 void OperatorFrontEnd::Apply(const HttpRequest& request,
@@ -90,7 +94,7 @@
 }
 
 void OperatorFrontEnd::List(const HttpRequest& request,
-                            const Respond& responder) const {
+                            const Respond& responder) {
   json jobs = json::array();
   for (const JobView& job : m_service.ListJobs(request.Query("customer")))
     jobs.push_back(ToJson(job));
--- a/source/net/operator_front_end.h
+++ b/source/net/operator_front_end.h
@@ -15,12 +15,15 @@
 /// docs/interfaces/operator.md documents paths, bodies and statuses.
 class OperatorFrontEnd {
  public:
-  /// `addresses` are the HTTP addresses of the control members by node, which a
-  /// follower names in its 421 answer. `service` and `server` outlive this.
+  /// `service` is called on the thread of `service_loop`. `addresses` are the
+  /// HTTP addresses of the control members by node, which a follower names in
+  /// its 421 answer. The references outlive this.
   OperatorFrontEnd(OperatorService& service,
+                   EventLoop& service_loop,
                    std::map<NodeId, std::string> addresses,
                    HttpServer& server);
 
+  /// Belongs to the thread of the service.
   const Counters& counters() const { return m_counters; }
 
  private:
@@ -29,7 +32,9 @@
   void Apply(const HttpRequest& request, const Respond& responder);
   void Submit(const HttpRequest& request, const Respond& responder);
   void Cancel(const HttpRequest& request, const Respond& responder);
-  void List(const HttpRequest& request, const Respond& responder) const;
+  void List(const HttpRequest& request, const Respond& responder);
+  void GetConfiguration(const HttpRequest& request, const Respond& responder);
+  void GetStatus(const HttpRequest& request, const Respond& responder);
   void Show(const HttpRequest& request, const Respond& responder);
   void Drain(const HttpRequest& request, const Respond& responder);
   void AddMember(const HttpRequest& request, const Respond& responder);
@@ -44,6 +49,7 @@
                                       const Respond& responder);
 
   OperatorService& m_service;
+  EventLoop& m_loop;
   const std::map<NodeId, std::string> m_addresses;
   Counters m_counters;
 };
--- a/tests/net/caller_front_end_test.cc
+++ b/tests/net/caller_front_end_test.cc
@@ -20,10 +20,10 @@
       options.max_body_bytes = 1000;
       m_server.emplace(m_thread.loop(), options);
       m_callers.emplace(m_thread.loop().clock(), *m_server);
-      m_diagnostics.emplace(*m_server);
-      m_diagnostics->AddMetrics(
-          [this](std::string& text) { m_callers->AppendMetrics(text); });
-      m_diagnostics->AddCounters("http", m_server->counters());
+      m_diagnostics.emplace(m_thread.loop(), *m_server);
+      m_diagnostics->AddMetrics(m_thread.loop(),
+                                [this] { return m_callers->Metrics(); });
+      m_diagnostics->AddCounters("http", m_thread.loop(), m_server->counters());
       m_callers->SetSubmit([this](const CallerRequest& request) {
         const RequestId id{9, ++m_sequence};
         submitted.Put({id, request});
