--- a/source/net/json_response.cc
+++ b/source/net/json_response.cc
@@ -34,10 +34,14 @@
 }
 
 HttpResponse MakeErrorResponse(int status, const Error& error) {
+  // Errors of several fields have a remedy in each line of the message.
+  const std::string remedy = error.remedy.empty()
+                                 ? "do what the message says for each field"
+                                 : error.remedy;
   const nlohmann::json json = {{"error",
                                 {{"kind", ToString(error.kind)},
                                  {"message", error.message},
-                                 {"remedy", error.remedy}}}};
+                                 {"remedy", remedy}}}};
   HttpResponse response;
   response.status = status;
   response.body =
