--- a/Makefile
+++ b/Makefile
@@ -24,3 +24,6 @@
 	  echo "seed $$seed: $$test"; \
 	  RC_PARAMS="seed=$$seed max_success=$(FUZZ_RUNS)" $$test || exit 1; \
 	done
+
+demo: build
+	@bash tests/process/demo.sh $(BUILD_DIR)
