Entry: Give each customer a few retries to begin with

Cause: the retry budget of a customer began empty, so the first ten requests of a quiet customer could not be retried (scenarios target_dies_idempotent and rack_loss: "outcome unknown" for an idempotent request). Change: the budget begins with ten retries.

--- a/source/agent/request_server.cc
+++ b/source/agent/request_server.cc
@@ -13,7 +13,6 @@
 
 // Latencies kept for the recent p99.
 constexpr size_t kLatencySamples = 1024;
-constexpr Millis kLatencySpan{10'000};
 
 // Share of a new sample in the smoothed service time. Service times are heavy
 // tailed, so a single long request must not move the estimate much.
--- a/source/agent/request_server.h
+++ b/source/agent/request_server.h
@@ -50,6 +50,9 @@
 /// refuses what cannot finish in time, and runs each request at most once.
 class RequestServer : public AgentPart {
  public:
+  /// Time over which RecentP99() and RecentCount() look back.
+  static constexpr Millis kLatencySpan{10'000};
+
   RequestServer(RequestServerOptions options,
                 const Clock& clock,
                 Transport& transport,
--- a/source/entry/retry_policy.cc
+++ b/source/entry/retry_policy.cc
@@ -9,7 +9,7 @@
   if (it == m_saved.end()) {
     if (m_saved.size() >= m_options.max_customers)
       return;
-    it = m_saved.emplace(customer, 0).first;
+    it = m_saved.emplace(customer, m_options.initial).first;
   }
   it->second = std::min(m_options.max_saved, it->second + m_options.share);
 }
--- a/source/entry/retry_policy.h
+++ b/source/entry/retry_policy.h
@@ -42,6 +42,9 @@
  public:
   struct Options {
     double share = 0.1;
+    /// Retries of a customer that has sent nothing before. Without them the
+    /// first requests of a quiet customer would fail with their target.
+    double initial = 10;
     /// Retries saved up at most; bounds the burst after a quiet time.
     double max_saved = 20;
     int max_attempts = 4;
