--- a/source/entry/retry_policy.cc
+++ b/source/entry/retry_policy.cc
@@ -5,21 +5,28 @@
 namespace fulmarrock {
 
 void RetryBudget::OnFresh(std::string_view customer) {
-  auto it = m_saved.find(customer);
-  if (it == m_saved.end()) {
-    if (m_saved.size() >= m_options.max_customers)
+  auto it = m_accounts.find(customer);
+  if (it == m_accounts.end()) {
+    if (m_accounts.size() >= m_options.max_customers)
       return;
-    it = m_saved.emplace(customer, m_options.initial).first;
+    it = m_accounts
+             .emplace(customer, Account{m_options.initial, m_options.initial})
+             .first;
   }
-  it->second = std::min(m_options.max_saved, it->second + m_options.share);
+  Account& account = it->second;
+  if (account.owed > 0)
+    account.owed -= m_options.share;
+  else
+    account.saved =
+        std::min(m_options.max_saved, account.saved + m_options.share);
 }
 
 bool RetryBudget::TryRetry(std::string_view customer, int attempts) {
-  const auto it = m_saved.find(customer);
-  if (it == m_saved.end() || attempts >= m_options.max_attempts ||
-      it->second < 1)
+  const auto it = m_accounts.find(customer);
+  if (it == m_accounts.end() || attempts >= m_options.max_attempts ||
+      it->second.saved < 1)
     return false;
-  it->second -= 1;
+  it->second.saved -= 1;
   return true;
 }
 
--- a/source/entry/retry_policy.h
+++ b/source/entry/retry_policy.h
@@ -42,8 +42,9 @@
  public:
   struct Options {
     double share = 0.1;
-    /// Retries of a customer that has sent nothing before. Without them the
-    /// first requests of a quiet customer would fail with their target.
+    /// Retries lent to a customer that has sent nothing before. Without them
+    /// the first requests of a quiet customer would fail with their target.
+    /// Its first fresh requests pay them back, so the share holds overall.
     double initial = 10;
     /// Retries saved up at most; bounds the burst after a quiet time.
     double max_saved = 20;
@@ -58,8 +59,13 @@
   bool TryRetry(std::string_view customer, int attempts) override;
 
  private:
+  struct Account {
+    double saved = 0;
+    double owed = 0;
+  };
+
   Options m_options;
-  std::map<std::string, double, std::less<>> m_saved;
+  std::map<std::string, Account, std::less<>> m_accounts;
 };
 
 }  // namespace fulmarrock
