--- a/source/control/commands.h
+++ b/source/control/commands.h
@@ -62,10 +62,13 @@
 struct AnnounceCommand {
   NodeId node;
   WorkerAnnounce announce;
+  /// Accepts an incarnation that was replaced before: its successor announced
+  /// itself late and never renewed.
+  bool is_return = false;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
-    visitor(self.node, self.announce);
+    visitor(self.node, self.announce, self.is_return);
   }
 };
 
--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -158,7 +158,16 @@
   m_transport.LearnAddress(from, announce.address);
   if (m_next_bytes >= kMaxEntryBytes)
     return;
-  m_next.announcements.push_back({from, announce});
+  // Incarnations have no order. One that was replaced may be the living one, if
+  // the announcement that replaced it had been delayed.
+  const WorkerIndex index = m_state.workers().Find(from);
+  const WorkerRecord* worker = m_state.workers().Get(index);
+  const bool is_past = worker && worker->IsPast(announce.incarnation);
+  if (is_past && !m_leases.HasExpired(index, m_clock.Now())) {
+    m_counters.Add("control_announcements_of_past_incarnations");
+    return;
+  }
+  m_next.announcements.push_back({from, announce, is_past});
   m_next_bytes += 128;
 }
 
--- a/source/control/lease_monitor.cc
+++ b/source/control/lease_monitor.cc
@@ -63,6 +63,10 @@
   return worker < m_entries.size() && m_entries[worker].is_expiring;
 }
 
+bool LeaseMonitor::HasExpired(WorkerIndex worker, Millis now) const {
+  return worker < m_entries.size() && now >= m_entries[worker].deadline;
+}
+
 void LeaseMonitor::OnReleased(WorkerIndex worker) {
   Get(worker).is_expiring = false;
 }
--- a/source/control/lease_monitor.h
+++ b/source/control/lease_monitor.h
@@ -60,6 +60,9 @@
   /// not be renewed.
   bool IsExpiring(WorkerIndex worker) const;
 
+  /// Whether all leases of the worker's current incarnation surely expired.
+  bool HasExpired(WorkerIndex worker, Millis now) const;
+
   /// The leases were released; renewals count again.
   void OnReleased(WorkerIndex worker);
 
--- a/source/control/worker_table.cc
+++ b/source/control/worker_table.cc
@@ -33,6 +33,11 @@
   return failed_jobs.size() >= WorkerTable::kQuarantineJobs;
 }
 
+bool WorkerRecord::IsPast(Incarnation other) const {
+  return std::find(past_incarnations.begin(), past_incarnations.end(), other) !=
+         past_incarnations.end();
+}
+
 WorkerTable::AnnounceResult WorkerTable::Announce(
     const AnnounceCommand& command) {
   const WorkerAnnounce& announce = command.announce;
@@ -42,12 +47,12 @@
   if (index == kNoWorker)
     index = Add(command.node);
   WorkerRecord& worker = m_workers[index];
-  auto& past = worker.past_incarnations;
-  if (std::find(past.begin(), past.end(), announce.incarnation) != past.end())
+  if (worker.IsPast(announce.incarnation) && !command.is_return)
     return AnnounceResult::kRefused;
-
   const bool is_restart = worker.incarnation != announce.incarnation;
   if (is_restart && worker.incarnation != 0) {
+    auto& past = worker.past_incarnations;
+    std::erase(past, announce.incarnation);
     past.push_back(worker.incarnation);
     if (past.size() > kPastIncarnations)
       past.erase(past.begin());
--- a/source/control/worker_table.h
+++ b/source/control/worker_table.h
@@ -42,6 +42,7 @@
     return is_draining_by_agent || is_draining_by_operator;
   }
   bool IsQuarantined() const;
+  bool IsPast(Incarnation other) const;
   bool HasTasks() const { return !tasks.empty() || !orphans.empty(); }
 
   template <typename Self, typename Visitor>
