--- a/source/agent/task_runner.cc
+++ b/source/agent/task_runner.cc
@@ -36,7 +36,9 @@
       m_transport(transport),
       m_random(random),
       m_worker(worker),
-      m_counters(counters) {}
+      m_counters(counters) {
+  m_worker.StopAll();
+}
 
 void TaskRunner::OnMessage(const NodeId& from, const Message& message) {
   if (const auto* announced = std::get_if<WorkerAnnounceAck>(&message)) {
@@ -161,6 +163,7 @@
     m_counters.Add("agent_grants_not_current");
     return;
   }
+  ExtendWorkerLeases(valid_until);
   for (const TaskGrant& grant : batch.grants)
     OnGrant(grant, valid_until);
 }
@@ -300,6 +303,8 @@
 void TaskRunner::Renew(Millis sent_at, Millis term) {
   const Millis valid_until = sent_at + term - kClockDriftMargin;
   const bool is_valid = m_clock.Now() < valid_until;
+  if (is_valid)
+    ExtendWorkerLeases(valid_until);
   for (auto& [task, lease] : m_leases) {
     // Control did not judge what started after the renewal: a late one may
     // arrive when such a lease has expired there and runs elsewhere.
@@ -315,6 +320,16 @@
   }
 }
 
+void TaskRunner::ExtendWorkerLeases(Millis valid_until) {
+  // One instant for all tasks is enough: those whose own lease ends earlier are
+  // suspended one by one, and if this agent dies before that, control still
+  // held them for current when it received the renewal behind this instant.
+  if (valid_until <= m_worker_lease_end)
+    return;
+  m_worker_lease_end = valid_until;
+  m_worker.ExtendLeases(valid_until - m_clock.Now());
+}
+
 void TaskRunner::ForgetPastLeases() {
   const Millis now = m_clock.Now();
   m_next_forget = now + kForgetInterval;
--- a/source/agent/task_runner.h
+++ b/source/agent/task_runner.h
@@ -31,9 +31,8 @@
 };
 
 /// Runs tasks on the worker beside the agent under leases from control. A new
-/// incarnation starts with none. This relies on the worker: it ends the tasks
-/// of a lost agent within the clock drift margin, and before it takes any from
-/// a new agent.
+/// incarnation starts with none and ends what its predecessor left; until then
+/// the worker suspends the tasks of a dead agent when their leases end.
 class TaskRunner : public AgentPart, public WorkerListener {
  public:
   /// All references outlive the runner.
@@ -104,7 +103,8 @@
   uint64_t AddEvent(TaskEvent event);
   /// Prolongs the leases that a renewal sent at this instant covered.
   void Renew(Millis sent_at, Millis term);
-
+  /// Tells the worker until when it may go on if this agent dies.
+  void ExtendWorkerLeases(Millis valid_until);
   void SuspendExpired();
   void ForgetPastLeases();
   void SendAnnounce();
@@ -128,7 +128,7 @@
   // Epochs that ended here; late copies of their grants are refused.
   std::unordered_map<TaskId, PastLease> m_past;
   Millis m_answered_at;
-
+  Millis m_worker_lease_end;
   std::deque<TaskEvent> m_events;
   uint64_t m_first_sequence = 1;
   bool m_has_unsent_events = false;
--- a/tests/support/control_scenario.cc
+++ b/tests/support/control_scenario.cc
@@ -20,6 +20,12 @@
   ObservedWorker(ControlScenario& scenario, size_t agent)
       : m_scenario(scenario), m_agent(agent) {}
 
+  void Attach(FakeWorker& worker) { m_worker = &worker; }
+
+  void StopAll() override { worker().StopAll(); }
+  void ExtendLeases(Millis remaining) override {
+    worker().ExtendLeases(remaining);
+  }
   void Start(const TaskGrant& grant) override {
     m_scenario.OnStart(m_agent, grant);
     if (m_scenario.m_sabotage == Sabotage::kWorkerStartsTwice)
@@ -36,10 +42,10 @@
   void ThrottleBatch(int) override {}
 
  private:
-  FakeWorker& worker() { return m_scenario.m_cluster->agents[m_agent]->worker; }
-
+  FakeWorker& worker() { return *m_worker; }
   ControlScenario& m_scenario;
   size_t m_agent;
+  FakeWorker* m_worker = nullptr;
 };
 
 ControlScenario::ControlScenario(uint64_t seed, Sabotage sabotage)
@@ -47,8 +53,10 @@
   for (size_t i = 0; i < 3; ++i)
     m_workers.push_back(std::make_unique<ObservedWorker>(*this, i));
   m_cluster = std::make_unique<ControlCluster>(
-      3, 3, seed,
-      [this](size_t agent) -> WorkerClient& { return *m_workers[agent]; });
+      3, 3, seed, [this](size_t agent, FakeWorker& worker) -> WorkerClient& {
+        m_workers[agent]->Attach(worker);
+        return *m_workers[agent];
+      });
   m_cluster->ApplyDefaultLists();
   m_kept_commands = m_cluster->log.committed_count();
   m_acknowledged_version = 1;
@@ -136,7 +144,7 @@
       m_cluster->log.Compact();
   } else if (name == "crash-agent") {
     if (agents[index]->runner)
-      m_cluster->CrashAgent(index, ToMillis(words[2]));
+      m_cluster->CrashAgent(index, words[2] == "instance");
   } else if (name == "start-agent") {
     if (!agents[index]->runner)
       m_cluster->StartAgent(index);
@@ -309,7 +317,7 @@
   for (size_t i = 0; i < 3; ++i) {
     const auto& runner = m_cluster->agents[i]->runner;
     if (runner && runner->IsDrained())
-      m_cluster->CrashAgent(i, Millis(0));
+      m_cluster->CrashAgent(i, /*with_worker=*/true);
     ExecuteOnProcesses({"start-agent", std::to_string(i)});
   }
 }
