--- a/source/agent/task_runner.cc
+++ b/source/agent/task_runner.cc
@@ -163,9 +163,9 @@
     m_counters.Add("agent_grants_not_current");
     return;
   }
-  ExtendWorkerLeases(valid_until);
   for (const TaskGrant& grant : batch.grants)
     OnGrant(grant, valid_until);
+  UpdateWorkerLease();
 }
 
 void TaskRunner::OnGrant(const TaskGrant& grant, Millis valid_until) {
@@ -283,10 +283,12 @@
 
 void TaskRunner::SuspendExpired() {
   const Millis now = m_clock.Now();
+  bool has_suspended = false;
   for (auto& [task, lease] : m_leases) {
     if (lease.state == LeaseState::kEnded || now < lease.valid_until)
       continue;
     if (!lease.is_suspended) {
+      has_suspended = true;
       // Also one that is being stopped must not go on by itself.
       m_counters.Add("agent_tasks_suspended");
       lease.is_suspended = true;
@@ -298,13 +300,13 @@
       StopLease(task, lease, /*with_checkpoint=*/true);
     }
   }
+  if (has_suspended)
+    UpdateWorkerLease();
 }
 
 void TaskRunner::Renew(Millis sent_at, Millis term) {
   const Millis valid_until = sent_at + term - kClockDriftMargin;
   const bool is_valid = m_clock.Now() < valid_until;
-  if (is_valid)
-    ExtendWorkerLeases(valid_until);
   for (auto& [task, lease] : m_leases) {
     // Control did not judge what started after the renewal: a late one may
     // arrive when such a lease has expired there and runs elsewhere.
@@ -318,16 +320,18 @@
     m_counters.Add("agent_tasks_resumed");
     m_worker.Resume(task);
   }
+  UpdateWorkerLease();
 }
 
-void TaskRunner::ExtendWorkerLeases(Millis valid_until) {
-  // One instant for all tasks is enough: those whose own lease ends earlier are
-  // suspended one by one, and if this agent dies before that, control still
-  // held them for current when it received the renewal behind this instant.
-  if (valid_until <= m_worker_lease_end)
-    return;
-  m_worker_lease_end = valid_until;
-  m_worker.ExtendLeases(valid_until - m_clock.Now());
+void TaskRunner::UpdateWorkerLease() {
+  Millis earliest = Millis::Max();
+  for (const auto& [task, lease] : m_leases) {
+    if (lease.state != LeaseState::kEnded && !lease.is_suspended)
+      earliest = std::min(earliest, lease.valid_until);
+  }
+  const Millis now = m_clock.Now();
+  if (earliest != Millis::Max() && earliest > now)
+    m_worker.ExtendLeases(earliest - now);
 }
 
 void TaskRunner::ForgetPastLeases() {
--- a/source/agent/task_runner.h
+++ b/source/agent/task_runner.h
@@ -103,9 +103,10 @@
   uint64_t AddEvent(TaskEvent event);
   /// Prolongs the leases that a renewal sent at this instant covered.
   void Renew(Millis sent_at, Millis term);
-  /// Tells the worker until when it may go on if this agent dies.
-  void ExtendWorkerLeases(Millis valid_until);
   void SuspendExpired();
+  /// Tells the worker how long its tasks may run if this agent dies. The lease
+  /// that ends first decides for all of them.
+  void UpdateWorkerLease();
   void ForgetPastLeases();
   void SendAnnounce();
   void SendRenew();
@@ -128,7 +129,6 @@
   // Epochs that ended here; late copies of their grants are refused.
   std::unordered_map<TaskId, PastLease> m_past;
   Millis m_answered_at;
-  Millis m_worker_lease_end;
   std::deque<TaskEvent> m_events;
   uint64_t m_first_sequence = 1;
   bool m_has_unsent_events = false;
--- a/source/agent/worker_client.h
+++ b/source/agent/worker_client.h
@@ -20,9 +20,10 @@
   /// first; later calls take effect after it.
   virtual void StopAll() = 0;
 
-  /// Lets all tasks run for this long from now. Without a further call the
-  /// worker suspends them by itself, so that the tasks of a dead agent do not
-  /// run beyond their leases, and stops them after one more lease term.
+  /// Lets all tasks run for this long from now, in place of what an earlier
+  /// call said. Afterwards the worker suspends them by itself until the next
+  /// call, so that the tasks of a dead agent do not run beyond their leases,
+  /// and stops them after one more lease term.
   virtual void ExtendLeases(Millis remaining) = 0;
 
   /// Starts a task, from its checkpoint if the grant names one.
--- a/source/placement/pending_queue.h
+++ b/source/placement/pending_queue.h
@@ -34,8 +34,6 @@
   bool allows_urgent = false;
   /// Declared sizes of all running tasks, for the quota.
   Resources declared;
-  /// Declared sizes by class of waiting tasks for which quota is held.
-  std::array<Resources, kTaskClassCount> claimed;
   /// Whether a group of the customer may be blocked on the quota.
   bool is_over_quota = false;
   /// Charged sizes of the running tasks by class, for the fair share.
@@ -84,6 +82,8 @@
   /// Blocks all tasks of this size until OnGrowth() reports room.
   void BlockSize(const Resources& need);
 
+  bool IsSizeBlocked(const Resources& need) const;
+
   /// Tells that a worker's usable capacity has grown. Unblocks the sizes that
   /// fit and names the worker as the place to look.
   void OnGrowth(WorkerIndex worker, const Resources& usable);
--- a/tests/support/fake_worker.cc
+++ b/tests/support/fake_worker.cc
@@ -1,13 +1,12 @@
 #include "tests/support/fake_worker.h"
 
-#include <algorithm>
 #include <utility>
 #include <vector>
 
 namespace fulmarrock::test {
 
 void FakeWorker::ExtendLeases(Millis remaining) {
-  m_lease_end = std::max(m_lease_end, m_clock.Now() + remaining);
+  m_lease_end = m_clock.Now() + remaining;
 }
 
 void FakeWorker::Start(const TaskGrant& grant) {
