--- a/tests/support/control_cluster.cc
+++ b/tests/support/control_cluster.cc
@@ -93,10 +93,12 @@
                      });
 }
 
-void ControlCluster::CrashAgent(size_t index, Millis grace) {
+void ControlCluster::CrashAgent(size_t index, bool with_worker) {
   AgentNode& agent = *agents[index];
   network.SetHandler(agent.node, nullptr);
-  agent.worker.LoseAgent(clock.Now() + grace);
+  agent.worker.LoseAgent();
+  if (with_worker)
+    agent.worker.StopAll();
   agent.runner.reset();
 }
 
@@ -111,7 +113,8 @@
   settings.address = "127.0.0.1:1";
   settings.capacity = worker_capacity;
   settings.incarnation = agent.incarnation;
-  WorkerClient& worker = wrap_worker ? wrap_worker(index) : agent.worker;
+  WorkerClient& worker =
+      wrap_worker ? wrap_worker(index, agent.worker) : agent.worker;
   agent.runner = std::make_unique<TaskRunner>(settings, clock,
                                               network.TransportOf(agent.node),
                                               random, worker, agent.counters);
