--- a/source/consensus/consensus_node.cc
+++ b/source/consensus/consensus_node.cc
@@ -229,6 +229,10 @@
 }
 
 void ConsensusNode::TakeSnapshotIfDue() {
+  if (m_archive.is_writing()) {
+    ContinueSnapshot();
+    return;
+  }
   size_t limit =
       std::max<size_t>(m_options.snapshot_log_bytes, m_archive.state_size());
   // A new snapshot starts transfers again, so a follower that is receiving one
@@ -241,12 +245,22 @@
   metadata.index = m_commit_index;
   metadata.term = m_log->TermAt(m_commit_index);
   metadata.members = m_log->MembersAt(m_commit_index).members();
-  if (FailOn(m_archive.Save(std::move(metadata),
-                            m_env.state_machine.SaveSnapshot())))
-    return;
+  m_archive.Begin(std::move(metadata), m_env.state_machine.SaveSnapshot());
   m_applied_bytes = 0;
+  ContinueSnapshot();
+}
+
+void ConsensusNode::ContinueSnapshot() {
+  const Result<bool> is_done =
+      m_archive.Continue(m_options.snapshot_write_bytes);
+  if (!is_done) {
+    FailOn(tl::make_unexpected(is_done.error()));
+    return;
+  }
+  if (!*is_done)
+    return;
   m_counters.Add("snapshots_taken");
-  FailOn(m_log->Compact(m_commit_index, m_options.trailing_entries));
+  FailOn(m_log->Compact(snapshot_index(), m_options.trailing_entries));
 }
 
 bool ConsensusNode::FailOn(const Result<void>& result) {
@@ -261,7 +275,7 @@
 
 void ConsensusNode::RejectIncarnation(const NodeId& from) {
   m_counters.Add(m_log->members().Find(from) == nullptr
-                     ? "replies_from_strangers"
+                     ? "replies_of_non_members"
                      : "replies_of_wrong_incarnation");
 }
 
--- a/source/consensus/consensus_node.h
+++ b/source/consensus/consensus_node.h
@@ -42,8 +42,10 @@
 /// first entry records all incarnations. That entry commits only when all
 /// founders have stored it, and nothing else is appended before. So before any
 /// command is accepted, every founder durably knows every incarnation, and a
-/// founder that loses its folder later cannot pass for its predecessor. A
-/// leader without entries gives way to a founder that holds the first entry.
+/// founder that loses its folder later is recognised. A leader without entries
+/// steps down when it meets a founder that holds the first entry. Losing a
+/// folder before the first entry committed stops the founding; as nothing was
+/// accepted, the remedy is to empty all folders.
 ///
 /// Afterwards answers count only if they carry the incarnation recorded for the
 /// member, and a member that finds another incarnation recorded for itself
@@ -146,6 +148,7 @@
   // Common.
   void CommitUpTo(LogIndex index);
   void TakeSnapshotIfDue();
+  void ContinueSnapshot();
   bool FailOn(const Result<void>& result);
   void RejectIncarnation(const NodeId& from);
 
--- a/source/consensus/consensus_node_replication.cc
+++ b/source/consensus/consensus_node_replication.cc
@@ -193,7 +193,7 @@
       return;
   }
   reply.term = CurrentTerm();
-  // Two leaders of one term are impossible, so the other one is an impostor.
+  // A term has one leader, so a leader ignores requests of its own term.
   if (request.term == CurrentTerm() && m_role != Role::kLeader) {
     const bool is_unfounded = request.previous_index == 0 &&
                               request.entries.empty() &&
--- a/source/consensus/consensus_options.h
+++ b/source/consensus/consensus_options.h
@@ -38,6 +38,9 @@
   /// Applied entries after which a snapshot is taken. A state larger than this
   /// waits for as many bytes as it has, which bounds the cost per command.
   size_t snapshot_log_bytes = size_t{8} << 20;
+  /// Part of a snapshot that is written and synced per tick, so that a large
+  /// state delays neither heartbeats nor commands.
+  size_t snapshot_write_bytes = size_t{1} << 20;
   /// Entries kept behind a snapshot for followers that are slightly behind.
   uint64_t trailing_entries = 1000;
   uint64_t segment_bytes = uint64_t{16} << 20;
--- a/source/consensus/snapshot_archive.cc
+++ b/source/consensus/snapshot_archive.cc
@@ -20,9 +20,26 @@
   return std::move((*stored)->state);
 }
 
+void SnapshotArchive::Begin(SnapshotMetadata metadata, std::string state) {
+  m_store.Begin(PackStruct(metadata), std::move(state));
+  m_next = std::move(metadata);
+}
+
+Result<bool> SnapshotArchive::Continue(size_t max_bytes) {
+  const Result<bool> is_done = m_store.Continue(max_bytes);
+  if (is_done && *is_done) {
+    m_metadata = std::move(*m_next);
+    m_next.reset();
+  }
+  return is_done;
+}
+
 Result<void> SnapshotArchive::Save(SnapshotMetadata metadata,
-                                   std::string_view state) {
-  if (Result<void> result = m_store.Save(PackStruct(metadata), state); !result)
+                                   std::string state) {
+  m_next.reset();
+  if (Result<void> result =
+          m_store.Save(PackStruct(metadata), std::move(state));
+      !result)
     return result;
   m_metadata = std::move(metadata);
   return {};
--- a/source/consensus/snapshot_archive.h
+++ b/source/consensus/snapshot_archive.h
@@ -1,10 +1,10 @@
 #ifndef SOURCE_CONSENSUS_SNAPSHOT_ARCHIVE_H_
 #define SOURCE_CONSENSUS_SNAPSHOT_ARCHIVE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "source/message/consensus_messages.h"
@@ -32,8 +32,17 @@
   /// Loads the snapshot and returns its state, or nothing without one.
   Result<std::optional<std::string>> Load();
 
-  /// Replaces the snapshot. Durable on return.
-  Result<void> Save(SnapshotMetadata metadata, std::string_view state);
+  /// Starts to replace the snapshot; Continue() does the work.
+  void Begin(SnapshotMetadata metadata, std::string state);
+  bool is_writing() const { return m_next.has_value(); }
+
+  /// Writes and syncs up to `max_bytes` more. Returns whether the new snapshot
+  /// is in place and durable.
+  Result<bool> Continue(size_t max_bytes);
+
+  /// Replaces the snapshot, also in place of one that is being written. Durable
+  /// on return.
+  Result<void> Save(SnapshotMetadata metadata, std::string state);
 
   const SnapshotMetadata& metadata() const { return m_metadata; }
   uint64_t state_size() const { return m_store.state_size(); }
@@ -44,6 +53,8 @@
  private:
   SnapshotStore m_store;
   SnapshotMetadata m_metadata;
+  // Metadata of the snapshot that is being written.
+  std::optional<SnapshotMetadata> m_next;
 };
 
 }  // namespace fulmarrock
--- a/source/storage/snapshot_store.cc
+++ b/source/storage/snapshot_store.cc
@@ -66,17 +66,45 @@
   return StoredSnapshot{std::string(metadata), std::string(state)};
 }
 
-Result<void> SnapshotStore::Save(std::string_view metadata,
-                                 std::string_view state) {
-  if (Result<void> result = WriteNewFile(metadata, state); !result)
-    return result;
+void SnapshotStore::Begin(std::string_view metadata, std::string state) {
+  SnapshotHeader header{};
+  header.magic = kMagic;
+  header.metadata_size = metadata.size();
+  header.state_size = state.size();
+  header.metadata_checksum = Checksum(metadata);
+  header.state_checksum = Checksum(state);
+  m_replacement = std::make_unique<Replacement>();
+  Replacement& replacement = *m_replacement;
+  replacement.start.assign(reinterpret_cast<const char*>(&header),
+                           sizeof(header));
+  replacement.start.append(metadata);
+  replacement.state = std::move(state);
+}
+
+Result<bool> SnapshotStore::Continue(size_t max_bytes) {
+  if (Result<void> result = WriteSome(max_bytes); !result)
+    return tl::make_unexpected(std::move(result.error()));
+  if (m_replacement->written < m_replacement->state.size())
+    return false;
   if (Result<void> result = m_storage.Rename(kNewName, kName); !result)
-    return result;
+    return tl::make_unexpected(std::move(result.error()));
   if (Result<void> result = m_storage.SyncFolder(); !result)
-    return result;
-  m_state_offset = sizeof(SnapshotHeader) + metadata.size();
-  m_state_size = state.size();
-  m_state_checksum = Checksum(state);
+    return tl::make_unexpected(std::move(result.error()));
+  SnapshotHeader header;
+  std::memcpy(&header, m_replacement->start.data(), sizeof(header));
+  m_state_offset = m_replacement->start.size();
+  m_state_size = header.state_size;
+  m_state_checksum = header.state_checksum;
+  m_replacement.reset();
+  return true;
+}
+
+Result<void> SnapshotStore::Save(std::string_view metadata, std::string state) {
+  const size_t size = state.size();
+  Begin(metadata, std::move(state));
+  const Result<bool> result = Continue(size);
+  if (!result)
+    return tl::make_unexpected(result.error());
   return {};
 }
 
@@ -90,24 +118,23 @@
                        std::min(length, m_state_size - begin));
 }
 
-Result<void> SnapshotStore::WriteNewFile(std::string_view metadata,
-                                         std::string_view state) {
-  const Result<std::unique_ptr<StorageFile>> file = m_storage.Create(kNewName);
-  if (!file)
-    return tl::make_unexpected(file.error());
-  SnapshotHeader header{};
-  header.magic = kMagic;
-  header.metadata_size = metadata.size();
-  header.state_size = state.size();
-  header.metadata_checksum = Checksum(metadata);
-  header.state_checksum = Checksum(state);
-  std::string start(reinterpret_cast<const char*>(&header), sizeof(header));
-  start.append(metadata);
-  if (Result<void> result = (*file)->Append(start); !result)
-    return result;
-  if (Result<void> result = (*file)->Append(state); !result)
+Result<void> SnapshotStore::WriteSome(size_t max_bytes) {
+  Replacement& replacement = *m_replacement;
+  if (!replacement.file) {
+    Result<std::unique_ptr<StorageFile>> file = m_storage.Create(kNewName);
+    if (!file)
+      return tl::make_unexpected(std::move(file.error()));
+    replacement.file = std::move(*file);
+    if (Result<void> result = replacement.file->Append(replacement.start);
+        !result)
+      return result;
+  }
+  const auto part = std::string_view(replacement.state)
+                        .substr(replacement.written, max_bytes);
+  if (Result<void> result = replacement.file->Append(part); !result)
     return result;
-  return (*file)->Sync();
+  replacement.written += part.size();
+  return replacement.file->Sync();
 }
 
 }  // namespace fulmarrock
--- a/source/storage/snapshot_store.h
+++ b/source/storage/snapshot_store.h
@@ -1,7 +1,9 @@
 #ifndef SOURCE_STORAGE_SNAPSHOT_STORE_H_
 #define SOURCE_STORAGE_SNAPSHOT_STORE_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -25,8 +27,16 @@
   /// Returns the stored snapshot, if there is one. Fails with kCorruption.
   Result<std::optional<StoredSnapshot>> Load();
 
-  /// Replaces the snapshot. After an error the old one is still in place.
-  Result<void> Save(std::string_view metadata, std::string_view state);
+  /// Starts to replace the snapshot, and gives up a replacement that has not
+  /// finished.
+  void Begin(std::string_view metadata, std::string state);
+
+  /// Writes and syncs up to `max_bytes` more. Returns whether the new snapshot
+  /// is in place. Until then, and after an error, the old one is.
+  Result<bool> Continue(size_t max_bytes);
+
+  /// Replaces the snapshot in one step.
+  Result<void> Save(std::string_view metadata, std::string state);
 
   /// Returns part of the stored state; shorter at its end.
   Result<std::string> ReadState(uint64_t offset, uint64_t length) const;
@@ -36,9 +46,19 @@
   uint64_t state_checksum() const { return m_state_checksum; }
 
  private:
-  Result<void> WriteNewFile(std::string_view metadata, std::string_view state);
+  /// A snapshot that is being written.
+  struct Replacement {
+    std::unique_ptr<StorageFile> file;
+    // Header and metadata.
+    std::string start;
+    std::string state;
+    size_t written = 0;
+  };
+
+  Result<void> WriteSome(size_t max_bytes);
 
   Storage& m_storage;
+  std::unique_ptr<Replacement> m_replacement;
   uint64_t m_state_offset = 0;
   uint64_t m_state_size = 0;
   uint64_t m_state_checksum = 0;
--- a/tests/consensus/consensus_property_test.cc
+++ b/tests/consensus/consensus_property_test.cc
@@ -22,6 +22,7 @@
     ConsensusOptions& options = m_cluster.options();
     options.snapshot_log_bytes = 400;
     options.snapshot_chunk_bytes = 50;
+    options.snapshot_write_bytes = 100;
     options.trailing_entries = m_random.Below(8);
     options.segment_bytes = 300;
     options.max_message_bytes = 100;
@@ -51,7 +52,7 @@
       case 6:
         return m_cluster.network().HealAll();
       case 7:
-        return ChangeWeather();
+        return ChangeNetworkQuality();
       case 8:
         return m_cluster.Disk(PickNode()).FailSyncAfter(m_random.Below(4));
       case 9:
@@ -77,7 +78,7 @@
       case 3:
         return m_cluster.network().HealAll();
       case 4:
-        return ChangeWeather();
+        return ChangeNetworkQuality();
       case 5:
         return m_cluster.Disk(PickNode()).FailSyncAfter(m_random.Below(4));
       default:
@@ -141,7 +142,7 @@
     m_cluster.StartAll();
   }
 
-  void ChangeWeather() {
+  void ChangeNetworkQuality() {
     const double loss = m_random.Fraction() * 0.2;
     m_cluster.network().SetLoss(loss, m_random.Fraction() * 0.2);
     m_cluster.network().SetDelay(
