--- a/source/storage/snapshot_store.cc
+++ b/source/storage/snapshot_store.cc
@@ -37,6 +37,10 @@
   // The file may have been renamed just before a failure of the folder sync.
   if (Result<void> result = m_storage.SyncFolder(); !result)
     return tl::make_unexpected(std::move(result.error()));
+  // What a crash left of an unfinished snapshot would take up space.
+  if (Result<void> result = m_storage.Remove(kNewName);
+      !result && result.error().kind != ErrorKind::kNotFound)
+    return tl::make_unexpected(std::move(result.error()));
   const Result<std::unique_ptr<StorageFile>> file = m_storage.Open(kName);
   if (!file) {
     if (file.error().kind == ErrorKind::kNotFound)
--- a/tests/consensus/consensus_property_test.cc
+++ b/tests/consensus/consensus_property_test.cc
@@ -54,7 +54,7 @@
       case 7:
         return ChangeNetworkQuality();
       case 8:
-        return m_cluster.Disk(PickNode()).FailSyncAfter(m_random.Below(4));
+        return BreakDisk();
       case 9:
         return LoseDisk();
       case 10:
@@ -80,7 +80,7 @@
       case 4:
         return ChangeNetworkQuality();
       case 5:
-        return m_cluster.Disk(PickNode()).FailSyncAfter(m_random.Below(4));
+        return BreakDisk();
       default:
         return m_cluster.Run(Millis(static_cast<int64_t>(m_random.Below(60))));
     }
@@ -138,6 +138,7 @@
     for (const NodeId& node : m_nodes) {
       if (m_cluster.IsUp(node) && m_cluster.Node(node).Failure())
         m_cluster.Crash(node, static_cast<CrashKind>(m_random.Below(3)));
+      m_cluster.Disk(node).SetCapacity(UINT64_MAX);
     }
     m_cluster.StartAll();
   }
@@ -149,6 +150,16 @@
         Millis(1), Millis(static_cast<int64_t>(m_random.Below(30))));
   }
 
+  /// Lets a later sync fail, or limits the disk to a size that is reached soon
+  /// or was passed already.
+  void BreakDisk() {
+    FakeStorage& disk = m_cluster.Disk(PickNode());
+    if (m_random.Below(2) == 0)
+      disk.FailSyncAfter(m_random.Below(4));
+    else
+      disk.SetCapacity(m_random.Below(6000));
+  }
+
   /// Loses one member's disk, unless another one still has to be repaired or a
   /// member is being removed: a group of three that removes one member needs
   /// both others.
@@ -158,6 +169,7 @@
       return;
     const NodeId node = PickNode();
     m_cluster.Crash(node, CrashKind::kLoseUnsynced);
+    m_cluster.Disk(node).SetCapacity(UINT64_MAX);
     // Somebody may restore the folder from that of another member.
     const NodeId other = PickNode();
     if (other == node)
