--- a/tests/consensus/scenario_test.cc
+++ b/tests/consensus/scenario_test.cc
@@ -120,6 +120,8 @@
         {"snapshot_log_bytes", &options.snapshot_log_bytes},
         {"snapshot_chunk_bytes", &options.snapshot_chunk_bytes},
         {"max_uncommitted_bytes", &options.max_uncommitted_bytes},
+        {"max_message_bytes", &options.max_message_bytes},
+        {"max_in_flight_bytes", &options.max_in_flight_bytes},
         {"max_command_bytes", &options.max_command_bytes},
         {"trailing_bytes", &options.trailing_bytes}};
     *options_by_name.at(name) = value;
