--- a/tests/support/fake_worker.h
+++ b/tests/support/fake_worker.h
@@ -21,19 +21,15 @@
     // Set while the task is being stopped.
     TaskEventKind ending = TaskEventKind::kStarted;
     Millis ends_at = Millis::Max();
-    // Belongs to an agent that is gone; ends without a report.
-    bool is_lost = false;
   };
 
   explicit FakeWorker(const Clock& clock) : m_clock(clock) {}
 
-  /// Connects an agent; what a lost one left behind ends first.
-  void SetListener(WorkerListener* listener);
+  void SetListener(WorkerListener* listener) { m_listener = listener; }
   void SetStopTime(Millis stop_time) { m_stop_time = stop_time; }
 
   void StopAll() override { m_tasks.clear(); }
-  /// The end of leases after the loss of an agent is set by LoseAgent().
-  void ExtendLeases(Millis) override {}
+  void ExtendLeases(Millis remaining) override;
   void Start(const TaskGrant& grant) override;
   void Checkpoint(TaskId task) override;
   void Stop(TaskId task) override;
@@ -44,9 +40,8 @@
   /// Ends a running task by itself, unless it is suspended.
   bool Finish(TaskId task, TaskEventKind kind, const std::string& detail = "");
 
-  /// The agent is gone: its tasks end at the given time, without a report.
-  void LoseAgent(Millis end);
-
+  /// The agent is gone: its tasks go on until their leases end.
+  void LoseAgent() { m_listener = nullptr; }
   /// Reports what is due.
   void Step();
 
@@ -61,6 +56,7 @@
   const Clock& m_clock;
   WorkerListener* m_listener = nullptr;
   Millis m_stop_time{20};
+  Millis m_lease_end;
   std::map<TaskId, Task> m_tasks;
 };
 
