--- a/tests/consensus/scenario_test.cc
+++ b/tests/consensus/scenario_test.cc
@@ -17,7 +17,7 @@
 //
 //   founders NODE...        first line: the founding members, not started yet
 //   option NAME VALUE       for nodes that start later
-//   start NODE... | crash KIND NODE | wipe NODE | copy FROM TO
+//   start NODE... | crash KIND NODE | pause NODE | wipe NODE | copy FROM TO
 //   cut FROM TO | isolate NODE | heal
 //   full NODE | space NODE | failsync NODE AFTER
 //   run MS | elect
@@ -67,6 +67,8 @@
       m_cluster->Crash(words.at(1), words[0] == "keep"
                                         ? CrashKind::kKeepAll
                                         : CrashKind::kLoseUnsynced);
+    } else if (verb == "pause") {
+      m_cluster->Pause(words.at(0));
     } else if (verb == "wipe") {
       m_cluster->Disk(words.at(0)).Wipe();
     } else if (verb == "copy") {
--- a/tests/support/consensus_cluster.cc
+++ b/tests/support/consensus_cluster.cc
@@ -160,7 +160,7 @@
     const auto interval = static_cast<uint64_t>(kTickInterval.count());
     std::vector<NodeId> leaders;
     for (auto& [node, running] : m_nodes) {
-      if (now % interval == running.tick_phase)
+      if (now % interval == running.tick_phase && !running.is_paused)
         running.node->OnTick();
       if (running.node->IsLeader())
         leaders.push_back(node);
@@ -169,6 +169,11 @@
   }
 }
 
+void ConsensusCluster::Pause(const NodeId& node) {
+  m_network.SetHandler(node, {});
+  m_nodes.at(node).is_paused = true;
+}
+
 NodeId ConsensusCluster::Leader() const {
   for (const auto& [node, running] : m_nodes) {
     if (running.node->IsLeader())
--- a/tests/support/consensus_cluster.h
+++ b/tests/support/consensus_cluster.h
@@ -134,6 +134,8 @@
   FakeStorage& Disk(const NodeId& node) { return m_disks[node]; }
   /// Stops the clock of a running node, which breaks the contract of Clock.
   void StopClock(const NodeId& node) { m_nodes.at(node).clock->Stop(); }
+  /// Suspends a node: it gets neither messages nor ticks.
+  void Pause(const NodeId& node);
   FakeNetwork& network() { return m_network; }
   ManualClock& clock() { return m_clock; }
   ConsensusOracle& oracle() { return m_oracle; }
@@ -158,6 +160,7 @@
     std::unique_ptr<RecordingStateMachine> machine;
     std::unique_ptr<ConsensusNode> node;
     uint64_t tick_phase = 0;
+    bool is_paused = false;
   };
 
   std::vector<NodeId> m_founders;
