--- a/tests/consensus/consensus_property_test.cc
+++ b/tests/consensus/consensus_property_test.cc
@@ -22,7 +22,8 @@
     ConsensusOptions& options = m_cluster.options();
     options.snapshot_log_bytes = 400;
     options.snapshot_chunk_bytes = 50;
-    options.trailing_entries = m_random.Below(8);
+    options.snapshot_write_bytes = 100;
+    options.trailing_bytes = m_random.Below(200);
     options.segment_bytes = 300;
     options.max_message_bytes = 100;
     options.max_in_flight_bytes = 200;
@@ -51,9 +52,9 @@
       case 6:
         return m_cluster.network().HealAll();
       case 7:
-        return ChangeWeather();
+        return ChangeNetworkQuality();
       case 8:
-        return m_cluster.Disk(PickNode()).FailSyncAfter(m_random.Below(4));
+        return BreakDisk();
       case 9:
         return LoseDisk();
       case 10:
@@ -77,9 +78,9 @@
       case 3:
         return m_cluster.network().HealAll();
       case 4:
-        return ChangeWeather();
+        return ChangeNetworkQuality();
       case 5:
-        return m_cluster.Disk(PickNode()).FailSyncAfter(m_random.Below(4));
+        return BreakDisk();
       default:
         return m_cluster.Run(Millis(static_cast<int64_t>(m_random.Below(60))));
     }
@@ -137,17 +138,28 @@
     for (const NodeId& node : m_nodes) {
       if (m_cluster.IsUp(node) && m_cluster.Node(node).Failure())
         m_cluster.Crash(node, static_cast<CrashKind>(m_random.Below(3)));
+      m_cluster.Disk(node).SetCapacity(UINT64_MAX);
     }
     m_cluster.StartAll();
   }
 
-  void ChangeWeather() {
+  void ChangeNetworkQuality() {
     const double loss = m_random.Fraction() * 0.2;
     m_cluster.network().SetLoss(loss, m_random.Fraction() * 0.2);
     m_cluster.network().SetDelay(
         Millis(1), Millis(static_cast<int64_t>(m_random.Below(30))));
   }
 
+  /// Lets a later sync fail, or limits the disk to a size that is reached soon
+  /// or was passed already.
+  void BreakDisk() {
+    FakeStorage& disk = m_cluster.Disk(PickNode());
+    if (m_random.Below(2) == 0)
+      disk.FailSyncAfter(m_random.Below(4));
+    else
+      disk.SetCapacity(m_random.Below(6000));
+  }
+
   /// Loses one member's disk, unless another one still has to be repaired or a
   /// member is being removed: a group of three that removes one member needs
   /// both others.
@@ -157,7 +169,13 @@
       return;
     const NodeId node = PickNode();
     m_cluster.Crash(node, CrashKind::kLoseUnsynced);
-    m_cluster.Disk(node).Wipe();
+    m_cluster.Disk(node).SetCapacity(UINT64_MAX);
+    // Somebody may restore the folder from that of another member.
+    const NodeId other = PickNode();
+    if (other == node)
+      m_cluster.Disk(node).Wipe();
+    else
+      m_cluster.Disk(node).CopyFrom(m_cluster.Disk(other));
     m_cluster.Start(node);
     m_incarnations[node] = m_cluster.Node(node).incarnation();
   }
