--- /dev/null
+++ b/tests/lease/lease_monitor_test.cc
@@ -0,0 +1,163 @@
+#include <optional>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "tests/support/control_cluster.h"
+
+namespace fulmarrock::test {
+namespace {
+
+constexpr Millis kStart{1'000'000};
+constexpr Millis kSafe = LeaseMonitor::kSafeTerm;
+
+/// Whether a full scan at an instant reports the event for worker 0.
+bool Reports(LeaseMonitor& monitor, LeaseEvent::Kind kind, Millis now) {
+  bool is_reported = false;
+  for (int i = 0; i < 100; ++i) {
+    for (const LeaseEvent& event : monitor.Scan(now))
+      is_reported |= event.kind == kind && event.worker == 0;
+  }
+  return is_reported;
+}
+
+// Guards against a new leader that forgets the renewals which its predecessor
+// may still have answered.
+TEST_CASE("a new leader waits a term, the margin and the leaders' overlap") {
+  LeaseMonitor monitor;
+  monitor.Reset(1, kStart);
+  const Millis end =
+      kStart + kLeaseTerm + kClockDriftMargin + LeaseMonitor::kLeaderOverlap;
+  CHECK_FALSE(Reports(monitor, LeaseEvent::Kind::kExpired, end - Millis(1)));
+  CHECK_FALSE(
+      Reports(monitor, LeaseEvent::Kind::kOrphansExpired, end - Millis(1)));
+  // Reported once, unlike the expiry.
+  CHECK(Reports(monitor, LeaseEvent::Kind::kOrphansExpired, end));
+  CHECK(Reports(monitor, LeaseEvent::Kind::kExpired, end));
+}
+
+// Guards against leases that are counted from anything but the last receipt.
+TEST_CASE("a lease lasts a term and the margin from the receipt") {
+  LeaseMonitor monitor;
+  monitor.Reset(0, kStart);
+  monitor.OnAnnounced(0, true, kStart);
+  const Millis receipt = kStart + Millis(5'000);
+  CHECK(monitor.OnRenewal(0, Millis(7), Millis(0), true, receipt));
+  CHECK(monitor.LastSentAt(0) == Millis(7));
+  const auto kExpired = LeaseEvent::Kind::kExpired;
+  CHECK_FALSE(Reports(monitor, kExpired, receipt + kSafe - Millis(1)));
+  CHECK_FALSE(monitor.IsExpiring(0));
+  CHECK(Reports(monitor, kExpired, receipt + kSafe));
+  CHECK(monitor.IsExpiring(0));
+}
+
+// Guards against a restart that ends the predecessor's leases early.
+TEST_CASE("a predecessor's leases keep their own deadline") {
+  LeaseMonitor monitor;
+  monitor.Reset(0, kStart);
+  monitor.OnAnnounced(0, true, kStart);
+  // The first worker has nothing before it.
+  Reports(monitor, LeaseEvent::Kind::kOrphansExpired,
+          kStart + kSafe + LeaseMonitor::kLeaderOverlap);
+  const Millis receipt = kStart + Millis(20'000);
+  monitor.OnRenewal(0, Millis(7), Millis(0), true, receipt);
+  monitor.OnAnnounced(0, true, receipt + Millis(3'000));
+  monitor.OnRenewal(0, Millis(9), Millis(0), true, receipt + Millis(9'000));
+  const auto kOrphans = LeaseEvent::Kind::kOrphansExpired;
+  CHECK_FALSE(Reports(monitor, kOrphans, receipt + kSafe - Millis(1)));
+  CHECK(Reports(monitor, kOrphans, receipt + kSafe));
+}
+
+// Guards against a worker that swallows tasks since no answer reaches it.
+TEST_CASE("a worker whose answers are lost is not renewed for ever") {
+  LeaseMonitor monitor;
+  monitor.Reset(0, kStart);
+  monitor.OnAnnounced(0, true, kStart);
+  Millis now = kStart;
+  for (; now < kStart + kLeaseTerm; now += Millis(1'000))
+    CHECK(monitor.OnRenewal(0, now, Millis(0), true, now));
+  CHECK_FALSE(monitor.OnRenewal(0, now, Millis(0), true, now));
+  CHECK(Reports(monitor, LeaseEvent::Kind::kSilent, now));
+  // Without leases it may go on, and takes tasks when an answer arrived.
+  CHECK(monitor.OnRenewal(0, now, Millis(0), false, now));
+  CHECK_FALSE(Reports(monitor, LeaseEvent::Kind::kHeard, now));
+  CHECK(monitor.OnRenewal(0, now, now, true, now));
+  CHECK(Reports(monitor, LeaseEvent::Kind::kHeard, now));
+}
+
+/// A worker's agent that the test plays by hand.
+struct ManualAgent {
+  explicit ManualAgent(ControlCluster& c) : cluster(c) {
+    cluster.network.SetHandler(
+        "worker", [this](const NodeId&, const Message& message) {
+          if (const auto* renewed = std::get_if<LeaseRenewReply>(&message))
+            reply = *renewed;
+          else if (const auto* grants = std::get_if<GrantBatch>(&message))
+            granted = grants->grants;
+        });
+    WorkerAnnounce announce;
+    announce.capacity = {4000, 4096, 0};
+    announce.incarnation = 5;
+    Send(announce);
+  }
+  void Send(const Message& message) {
+    reply.reset();
+    cluster.network.TransportOf("worker").Send("control0", message);
+    cluster.Run(Millis(50));
+  }
+  void Renew(uint64_t digest, uint32_t count) {
+    const Millis now = cluster.clock.Now();
+    Send(LeaseRenew{5, digest, count, now, now});
+  }
+
+  ControlCluster& cluster;
+  std::optional<LeaseRenewReply> reply;
+  std::vector<TaskGrant> granted;
+};
+
+// Guards against a renewal that is answered while the release of its leases is
+// on its way through the log: the task would run here and elsewhere.
+TEST_CASE("leases whose release is proposed are not renewed") {
+  ControlCluster cluster(1, 0, 1);
+  cluster.ApplyDefaultLists();
+  ManualAgent agent(cluster);
+  agent.Renew(0, 0);
+  const JobId job = *cluster.Submit(MakeSpec(), "a");
+  cluster.Run(Millis(100));
+  REQUIRE(agent.granted.size() == 1);
+  const uint64_t digest = LeaseDigest({job, 0}, 1);
+  agent.Renew(digest, 1);
+  REQUIRE(agent.reply);
+  CHECK(agent.reply->is_renewed);
+
+  cluster.log.SetDelay(Millis(4'000));
+  cluster.Run(kSafe + Millis(500));
+  CHECK(cluster.leader().role->counters().Get("control_leases_expired") > 0);
+  CHECK(cluster.state().jobs().FindTask({job, 0})->state ==
+        TaskState::kRunning);
+  agent.Renew(digest, 1);
+  CHECK_FALSE(agent.reply);
+  cluster.Run(Millis(9'000));
+  agent.Renew(digest, 1);
+  REQUIRE(agent.reply);
+  CHECK_FALSE(agent.reply->is_renewed);
+}
+
+// Guards against renewing leases that are not current.
+TEST_CASE("a digest mismatch leads to a report that names what to stop") {
+  ControlCluster cluster(1, 0, 1);
+  cluster.ApplyDefaultLists();
+  ManualAgent agent(cluster);
+  agent.Renew(LeaseDigest({99, 0}, 1), 1);
+  REQUIRE(agent.reply);
+  CHECK_FALSE(agent.reply->is_renewed);
+  CHECK(agent.reply->needs_report);
+  const Millis now = cluster.clock.Now();
+  agent.Send(LeaseReport{5, now, {{{99, 0}, 1}}, now});
+  REQUIRE(agent.reply);
+  CHECK(agent.reply->is_renewed);
+  CHECK(agent.reply->revoked == std::vector<HeldLease>{{{99, 0}, 1}});
+}
+
+}  // namespace
+}  // namespace fulmarrock::test
