Throttle: Estimate the p99 from the p90 and place around disturbance

The first throttle cut on every p99 above the objective and released in steps. A p99 over a thousand heavy-tailed latencies varies by about a sixth, so most cuts answered chance. The probe now also gives the p90, which varies by a twentieth; the throttle multiplies it by the long-term ratio of p99 to p90. Cuts and raises are proportional to the share.

Interference: scores grow with what already disturbs the service on a worker.

--- a/source/agent/throttle_policy.cc
+++ b/source/agent/throttle_policy.cc
@@ -1,6 +1,7 @@
 #include "source/agent/throttle_policy.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fulmarrock {
 namespace {
@@ -8,26 +9,35 @@
 constexpr double kMinShare = 5;
 constexpr double kMaxShare = 100;
 
-// A cut takes effect on later requests only, so that one violation is not
-// answered by several cuts before its effect can be measured.
-constexpr Millis kCutInterval{250};
+// Logarithm of a ratio that is hardly chance and is answered at once.
+constexpr double kSevereExcess = 0.3;
+constexpr Millis kSevereInterval{1'000};
 constexpr double kMaxCut = 0.5;
-constexpr double kMinCut = 0.8;
 
-// Ratio of p99 to objective below which the share may rise. The gap up to 1 is
-// the hysteresis.
-constexpr double kReleaseRatio = 0.85;
-constexpr Millis kReleaseAfter{1'000};
-constexpr Millis kRaiseInterval{500};
+// The p99 of a thousand heavy-tailed latencies varies by chance by about a
+// sixth, the p90 by about a twentieth. Estimates are smoothed over this time.
+constexpr double kSmoothingMs = 1'000;
 
-// Steps in percent, smaller near the share that was too much the last time.
-constexpr double kFastRaise = 4;
-constexpr double kSlowRaise = 1;
+// Time over which the ratio of the p99 to the p90 is averaged.
+constexpr double kTailMs = 60'000;
+
+// Change of the logarithm of the share per second and per unit of the smoothed
+// logarithm of the ratio.
+constexpr double kCutGain = 0.6;
+
+// The share rises below this smoothed logarithm; the gap up to 0 is the
+// hysteresis.
+constexpr double kReleaseBelow = -0.03;
+
+// Growth of the share per second; slower near the share that was too much the
+// last time.
+constexpr double kFastRaise = 0.16;
+constexpr double kSlowRaise = 0.04;
 constexpr double kNearViolation = 0.9;
 
-// Part of the distance by which the remembered violation recedes per raise, so
-// that a service whose load has fallen is probed again.
-constexpr double kForget = 0.05;
+// Part of the distance by which the remembered violation recedes per second,
+// so that a service whose load has fallen is probed again.
+constexpr double kForget = 0.03;
 
 // A measurement older than this says little about the present.
 constexpr Millis kStaleAfter = Millis::FromSeconds(3);
@@ -55,6 +65,7 @@
 }
 
 void MultiplicativeThrottle::OnSample(const LatencySample& sample, Millis now) {
+  const Millis previous = m_has_sample ? m_last_fresh : now;
   m_has_sample = true;
   m_last_measured = sample.measured_at;
   m_last_fresh = now;
@@ -62,38 +73,52 @@
     m_share = kMaxShare;
     return;
   }
-  const double ratio = static_cast<double>(sample.p99.count()) /
-                       static_cast<double>(sample.objective.count());
-  if (ratio > 1) {
-    m_is_below = false;
+  const double elapsed_ms = static_cast<double>(
+      std::clamp(now - previous, Millis(0), kStaleAfter).count());
+  const double excess = EstimateExcess(sample, elapsed_ms);
+  m_excess += (excess - m_excess) * (1 - std::exp(-elapsed_ms / kSmoothingMs));
+  if (excess >= kSevereExcess) {
     // A window that ended before the last cut shows the state before it.
-    if (sample.measured_at < m_last_cut + kCutInterval)
-      return;
-    m_share_at_violation = m_share;
-    m_share =
-        std::max(m_share * std::clamp(1 / ratio, kMaxCut, kMinCut), kMinShare);
-    m_last_cut = now;
-    return;
-  }
-  if (ratio > kReleaseRatio || sample.request_count < kMinRequests) {
-    m_is_below = false;
+    if (sample.measured_at >= m_last_cut + kSevereInterval) {
+      m_share_at_violation = m_share;
+      m_share =
+          std::max(m_share * std::max(std::exp(-excess), kMaxCut), kMinShare);
+      m_last_cut = now;
+    }
     return;
   }
-  if (!m_is_below) {
-    m_is_below = true;
-    m_below_since = now;
+  const double seconds = elapsed_ms / 1'000;
+  if (m_excess > 0) {
+    m_share_at_violation = m_share;
+    m_share =
+        std::max(m_share * std::exp(-kCutGain * m_excess * seconds), kMinShare);
+  } else if (m_excess < kReleaseBelow && sample.request_count >= kMinRequests) {
+    const bool is_near = m_share >= m_share_at_violation * kNearViolation;
+    m_share = std::min(
+        m_share + (is_near ? kSlowRaise : kFastRaise) * m_share * seconds,
+        kMaxShare);
+    m_share_at_violation +=
+        (kMaxShare - m_share_at_violation) * kForget * seconds;
   }
-  if (now - m_below_since < kReleaseAfter ||
-      now - m_last_raise < kRaiseInterval)
-    return;
-  const bool is_near = m_share >= m_share_at_violation * kNearViolation;
-  m_share = std::min(m_share + (is_near ? kSlowRaise : kFastRaise), kMaxShare);
-  m_share_at_violation += (kMaxShare - m_share_at_violation) * kForget;
-  m_last_raise = now;
+}
+
+double MultiplicativeThrottle::EstimateExcess(const LatencySample& sample,
+                                              double elapsed_ms) {
+  const auto p99 =
+      static_cast<double>(std::max<int64_t>(sample.p99.count(), 1));
+  const auto objective = static_cast<double>(sample.objective.count());
+  if (sample.p90 <= Millis(0))
+    return std::log(p99 / objective);
+  const auto p90 = static_cast<double>(sample.p90.count());
+  // Starts as a plain mean, so that the first samples count fully.
+  const double weight = 1 - std::exp(-elapsed_ms / kTailMs);
+  m_tail_weight += (1 - m_tail_weight) * weight;
+  const double share = m_tail_weight <= 0 ? 1 : weight / m_tail_weight;
+  m_tail += (std::log(p99 / p90) - m_tail) * share;
+  return std::log(p90 / objective) + m_tail;
 }
 
 void MultiplicativeThrottle::OnSilence() {
-  m_is_below = false;
   m_share = std::min(m_share, kCautiousShare);
 }
 
--- a/source/agent/throttle_policy.h
+++ b/source/agent/throttle_policy.h
@@ -27,9 +27,9 @@
   }
 };
 
-/// Cuts the share by a factor when the p99 exceeds the objective, and raises it
-/// in small steps once the p99 has stayed clearly below for a while. Without
-/// fresh measurements the share falls to a cautious level and stays there.
+/// Cuts the share by a factor when the p99 exceeds the objective, at once if the
+/// excess is large, and raises it slowly while the smoothed p99 is clearly
+/// below. Without fresh measurements the share falls to a cautious level.
 class MultiplicativeThrottle : public ThrottlePolicy {
  public:
   int Update(const std::optional<LatencySample>& sample, Millis now) override;
@@ -37,17 +37,22 @@
  private:
   void OnSample(const LatencySample& sample, Millis now);
   void OnSilence();
+  /// Returns the logarithm of the ratio of the p99 to the objective, estimated
+  /// from the p90 if that is known.
+  double EstimateExcess(const LatencySample& sample, double elapsed_ms);
 
   double m_share = 100;
   // Share at which the objective was last exceeded; it is approached slowly.
   double m_share_at_violation = 100;
+  // Smoothed logarithm of the ratio of the p99 to the objective.
+  double m_excess = 0;
+  // Long-term mean of the logarithm of the ratio of the p99 to the p90.
+  double m_tail = 0;
+  double m_tail_weight = 0;
   Millis m_last_measured;
   Millis m_last_cut;
-  Millis m_last_raise;
-  Millis m_below_since;
   Millis m_last_fresh;
   bool m_has_sample = false;
-  bool m_is_below = false;
 };
 
 }  // namespace fulmarrock
--- a/source/placement/overload_tracker.cc
+++ b/source/placement/overload_tracker.cc
@@ -3,17 +3,17 @@
 namespace fulmarrock {
 namespace {
 
-// The agent's throttle reacts within a second and reports arrive every few
-// seconds; only a violation that outlasts both is a reason to evict.
-constexpr Millis kPersistence = Millis::FromSeconds(10);
-constexpr size_t kMinReports = 3;
+// The agent's throttle needs a few windows of ten seconds to settle, and a p99
+// varies by chance; only a violation that outlasts both is a reason to evict.
+constexpr Millis kPersistence = Millis::FromSeconds(30);
+constexpr size_t kMinReports = 5;
 
 // A record without a report for this long says nothing about the present.
 constexpr Millis kReportTimeout = Millis::FromSeconds(60);
 
 // Ratio above which a service counts as overloaded, and the lower one at which
 // it counts as recovered.
-constexpr double kOverloadRatio = 1.1;
+constexpr double kOverloadRatio = 1.2;
 constexpr double kRecoveredRatio = 0.9;
 
 // One task at a time, so that the effect of each eviction is measured first.
--- a/source/placement/packing_placement.cc
+++ b/source/placement/packing_placement.cc
@@ -13,7 +13,7 @@
 
 // Weights of the parts of a score. The packing part lies between 0 and 3.
 constexpr double kAcceleratorWaste = 4;
-constexpr double kInterferenceWeight = 6;
+constexpr double kInterferenceWeight = 20;
 constexpr double kFailedHereBefore = 20;
 constexpr double kSpreadSensitive = 2;
 constexpr double kSpreadBatch = 0.3;
@@ -117,9 +117,19 @@
     const PlacementRequest& request) const {
   double disturbance = 0;
   if (request.spec->kind == TaskKind::kBatch) {
-    for (const auto& [service, count] : worker.sensitive)
-      disturbance +=
+    for (const auto& [service, count] : worker.sensitive) {
+      const double own =
           m_interference.Disturbance(service, request.workload, request.now);
+      if (own <= 0)
+        continue;
+      // Disturbances add up, so the next disturbing task goes to the worker
+      // that has the fewest of them.
+      double present = 1;
+      for (const RunningTask* task : worker.tasks)
+        present +=
+            m_interference.Disturbance(service, task->workload, request.now);
+      disturbance += own * present;
+    }
   } else if (m_interference.HasRecords(request.workload)) {
     for (const RunningTask* task : worker.tasks)
       disturbance += m_interference.Disturbance(request.workload,
