--- a/source/agent/throttle_policy.h
+++ b/source/agent/throttle_policy.h
@@ -27,8 +27,8 @@
   }
 };
 
-/// Cuts the share by a factor when the p99 exceeds the objective, at once if the
-/// excess is large, and raises it slowly while the smoothed p99 is clearly
+/// Cuts the share by a factor when the p99 exceeds the objective, at once if
+/// the excess is large, and raises it slowly while the smoothed p99 is clearly
 /// below. Without fresh measurements the share falls to a cautious level.
 class MultiplicativeThrottle : public ThrottlePolicy {
  public:
