--- a/source/agent/request_server.cc
+++ b/source/agent/request_server.cc
@@ -13,7 +13,6 @@
 
 // Latencies kept for the recent p99.
 constexpr size_t kLatencySamples = 1024;
-constexpr Millis kLatencySpan{10'000};
 
 // Share of a new sample in the smoothed service time. Service times are heavy
 // tailed, so a single long request must not move the estimate much.
@@ -299,10 +298,10 @@
       hung.push_back(id);
   }
   for (const RequestId& id : hung) {
-    const NodeId entry = m_running[id].entry;
+    const Running running = m_running[id];
     m_running.erase(id);
     m_counters.Add("slot_released_as_hung");
-    Finish(RequestRecords::State::kFinished, entry,
+    Finish(RequestRecords::State::kFinished, running.entry,
            MakeReply(id, Outcome::kOutcomeUnknown,
                      "the target did not answer in time"));
   }
--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -44,7 +44,8 @@
 
 void ControlRole::OnMessage(const NodeId& from, const Message& message) {
   if (const auto* poll = std::get_if<ConfigPoll>(&message)) {
-    m_distributor.OnPoll(from, poll->held_version, m_clock.Now());
+    if (MayServe(*poll))
+      m_distributor.OnPoll(from, poll->held_version, m_clock.Now());
     return;
   }
   if (const auto* ack = std::get_if<ConfigAck>(&message)) {
@@ -149,6 +150,16 @@
   return m_is_leader && m_log->IsLeader();
 }
 
+bool ControlRole::MayServe(const ConfigPoll& poll) const {
+  if (IsLeading())
+    return true;
+  // A process that holds nothing may have restarted with a newer version than
+  // this follower has applied, and must not go back. A follower without a
+  // leader would keep its pollers at an old version for as long as it is cut
+  // off. Silence makes the poller ask another member.
+  return poll.held_version != 0 && !m_log->Leader().empty();
+}
+
 void ControlRole::OnAnnounce(const NodeId& from,
                              const WorkerAnnounce& announce) {
   if (!IsValidAnnounce(from, announce)) {
@@ -168,8 +179,12 @@
   if (index == kNoWorker)
     return;
   m_counters.Add("control_renewals");
-  m_leases.OnRenewal(index, renew.sent_at, m_clock.Now());
   const WorkerRecord& worker = *m_state.workers().Get(index);
+  if (!m_leases.OnRenewal(index, renew.sent_at, renew.answered_at,
+                          !worker.tasks.empty(), m_clock.Now())) {
+    m_counters.Add("control_workers_unreachable");
+    return;
+  }
   LeaseRenewReply reply;
   reply.incarnation = renew.incarnation;
   reply.sent_at = renew.sent_at;
@@ -187,7 +202,12 @@
   if (index == kNoWorker)
     return;
   const Millis now = m_clock.Now();
-  m_leases.OnRenewal(index, report.sent_at, now);
+  const bool has_leases = !m_state.workers().Get(index)->tasks.empty();
+  if (!m_leases.OnRenewal(index, report.sent_at, report.answered_at, has_leases,
+                          now)) {
+    m_counters.Add("control_workers_unreachable");
+    return;
+  }
   LeaseRenewReply reply;
   reply.incarnation = report.incarnation;
   reply.sent_at = report.sent_at;
--- a/tests/support/consensus_cluster.h
+++ b/tests/support/consensus_cluster.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -27,6 +28,10 @@
   /// A member acted as leader of a term.
   void NoteLeader(const NodeId& node, Term term);
 
+  /// Members that claim to lead at the same time, whatever their terms. Reads
+  /// at one of them would be old.
+  void NoteLeading(const std::vector<NodeId>& nodes);
+
   /// A member applied a command on top of `state`.
   void NoteApply(const NodeId& node,
                  const Applied& state,
@@ -82,6 +87,18 @@
   std::map<LogIndex, std::string> m_proposals;
 };
 
+/// Clock of one node; stops on request.
+class NodeClock : public Clock {
+ public:
+  explicit NodeClock(const ManualClock& clock) : m_clock(clock) {}
+  Millis Now() const override { return m_stopped_at.value_or(m_clock.Now()); }
+  void Stop() { m_stopped_at = m_clock.Now(); }
+
+ private:
+  const ManualClock& m_clock;
+  std::optional<Millis> m_stopped_at;
+};
+
 /// Real ConsensusNodes over a fake network and fake storage.
 class ConsensusCluster {
  public:
@@ -90,6 +107,7 @@
   /// Options for nodes that start from now on.
   ConsensusOptions& options() { return m_options; }
 
+  /// Starts a node. It stays down if its disk fails; throws if it finds damage.
   void Start(const NodeId& node);
   void StartAll();
   void Crash(const NodeId& node, CrashKind kind);
@@ -114,6 +132,8 @@
     return *m_nodes.at(node).machine;
   }
   FakeStorage& Disk(const NodeId& node) { return m_disks[node]; }
+  /// Stops the clock of a running node, which breaks the contract of Clock.
+  void StopClock(const NodeId& node) { m_nodes.at(node).clock->Stop(); }
   FakeNetwork& network() { return m_network; }
   ManualClock& clock() { return m_clock; }
   ConsensusOracle& oracle() { return m_oracle; }
@@ -121,8 +141,8 @@
   /// Returns a node that leads, or an empty name.
   NodeId Leader() const;
 
-  /// Proposes a command at a node; false if it was refused.
-  bool Propose(const NodeId& node, const std::string& command);
+  /// Proposes a command at a node.
+  Result<LogIndex> Propose(const NodeId& node, const std::string& command);
 
   /// Waits for a leader, proposes there and waits until it is applied at all
   /// nodes that are up.
@@ -134,6 +154,7 @@
 
  private:
   struct Running {
+    std::unique_ptr<NodeClock> clock;
     std::unique_ptr<RecordingStateMachine> machine;
     std::unique_ptr<ConsensusNode> node;
     uint64_t tick_phase = 0;
