Placement: Stop planning evictions once the limit is reached

With many urgent tasks waiting, every call planned evictions for all of them although the limit per window was used up.

--- a/bench/colocation_bench.cc
+++ b/bench/colocation_bench.cc
@@ -267,8 +267,10 @@
   // Keeps a few tasks waiting, so that a worker is never idle for lack of work,
   // unless only a part of the cores is to be used.
   void SubmitBatch(int step) {
-    const double cores = static_cast<double>(kWorkers) *
-                         (m_capacity.cpu_millicores / 1'000 - kServiceCores);
+    const double cores =
+        static_cast<double>(kWorkers) *
+        (static_cast<double>(m_capacity.cpu_millicores) / 1'000 -
+         kServiceCores);
     while (m_scheduler.pending_count() < 12 &&
            m_entered_cores < m_fill * cores) {
       const double kind = m_random.Fraction();
--- a/bench/eviction_bench.cc
+++ b/bench/eviction_bench.cc
@@ -174,7 +174,8 @@
   if (values.empty())
     return 0;
   std::sort(values.begin(), values.end());
-  const auto index = static_cast<size_t>(part * (values.size() - 1) + 0.5);
+  const auto index = static_cast<size_t>(
+      std::lround(part * static_cast<double>(values.size() - 1)));
   return values[index];
 }
 
--- a/source/placement/fair_scheduler.cc
+++ b/source/placement/fair_scheduler.cc
@@ -596,6 +596,10 @@
   for (const TaskId task :
        m_state->queue.BlockedTasks(TaskClass::kUrgent, kMaxUrgentClaims)) {
     const PendingEntry& entry = *m_state->queue.Find(task);
+    const size_t allowance = policy.Allowance(
+        EvictionCause::kUrgentWork, m_state->cluster.batch_task_count(), now);
+    if (allowance == 0)
+      return;
     if (now - entry.task.since < kEvictAfter ||
         !m_state->claims.FitsQuota(entry) || m_state->claims.HasWorker(task))
       continue;
@@ -612,9 +616,7 @@
         best_worker = index;
       }
     }
-    if (!best || best->tasks.size() >
-                     policy.Allowance(EvictionCause::kUrgentWork,
-                                      m_state->cluster.batch_task_count(), now))
+    if (!best || best->tasks.size() > allowance)
       continue;
     m_state->claims.Add(entry, best_worker, now);
     for (const TaskId victim : best->tasks)
--- a/source/placement/fair_scheduler.h
+++ b/source/placement/fair_scheduler.h
@@ -134,6 +134,7 @@
              std::vector<Eviction>& out);
 
   void RecordTaskUsage(WorkerIndex worker, const TaskUsage& usage);
+  /// The names in a report are the workloads of the jobs they belong to.
   void RecordServices(WorkerIndex worker,
                       const UsageReport& report,
                       Millis now);
