--- a/source/agent/request_server.cc
+++ b/source/agent/request_server.cc
@@ -217,7 +217,9 @@
 }
 
 void RequestServer::DispatchQueued() {
-  while (static_cast<int32_t>(m_running.size()) < m_options.slots &&
+  // The tick refuses the queue of an unhealthy target.
+  while (m_target.IsHealthy() &&
+         static_cast<int32_t>(m_running.size()) < m_options.slots &&
          m_open_connections < m_options.connections) {
     std::optional<QueuedRequest> next = m_queue.Pop();
     if (!next)
--- a/source/entry/request_dispatcher.cc
+++ b/source/entry/request_dispatcher.cc
@@ -109,6 +109,7 @@
   copy.job = job.job.id;
   copy.node = target.node;
   copy.incarnation = target.incarnation;
+  copy.sent = m_parts.clock.Now();
   m_parts.table.AddInFlight(target.node, target.incarnation,
                             m_parts.clock.Now());
   ScheduleQuery(copy_id, copy, m_options.query_after);
@@ -236,8 +237,16 @@
   m_parts.counters.Add("queries_sent");
   m_parts.transport.Send(copy.node, RequestQuery{copy_id, copy.incarnation});
   ScheduleQuery(copy_id, copy, m_options.query_interval);
-  if (copy.unanswered < m_options.max_unanswered || copy.was_replaced)
+  if (copy.was_replaced)
     return;
+  if (copy.unanswered < m_options.max_unanswered) {
+    if (IsFarBehind(job, copy)) {
+      copy.was_replaced = true;
+      m_parts.counters.Add("hedges");
+      TryAgain(job);
+    }
+    return;
+  }
   copy.was_replaced = true;
   m_parts.counters.Add("targets_unresponsive");
   m_parts.outliers.OnUnresponsive(copy.node, m_parts.clock.Now());
@@ -245,6 +254,18 @@
   TryAgain(job);
 }
 
+bool RequestDispatcher::IsFarBehind(const Job& job, const Copy& copy) const {
+  std::vector<Millis> times;
+  for (const Target* target : FindTargets(job.job.request.service))
+    times.push_back(target->load.service_time);
+  if (times.empty())
+    return false;
+  const auto middle = times.begin() + static_cast<ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  return *middle > Millis(0) &&
+         m_parts.clock.Now() - copy.sent >= *middle * m_options.hedge_factor;
+}
+
 void RequestDispatcher::OnCopyAnswered(RequestId copy_id,
                                        const RequestReply& reply) {
   const Copy copy = m_copies.at(copy_id);
--- a/source/entry/request_dispatcher.h
+++ b/source/entry/request_dispatcher.h
@@ -65,6 +65,10 @@
     Millis progress_interval{500};
     /// Unanswered queries in a row after which the target is suspected.
     int max_unanswered = 3;
+    /// An idempotent request that takes this many times the median service time
+    /// is sent to a second target, from the retry budget. Earlier hedges cost
+    /// more capacity than they save.
+    int64_t hedge_factor = 25;
     /// Time reserved for the way of the answer, taken off the deadline.
     Millis reply_margin{20};
   };
@@ -107,6 +111,7 @@
     RequestId job;
     NodeId node;
     Incarnation incarnation = 0;
+    Millis sent;
     Millis next_query;
     int unanswered = 0;
     bool was_replaced = false;
@@ -140,6 +145,8 @@
   void EndWithoutAnswer(Job& job, std::string reason);
   void Finish(Job& job, CallerReply reply);
   void ScheduleQuery(RequestId copy_id, Copy& copy, Millis delay);
+  /// Tells whether a copy takes so long that a hedge may come first.
+  bool IsFarBehind(const Job& job, const Copy& copy) const;
   void RunQuery(RequestId copy_id, Copy& copy);
   Copy* FindCopy(RequestId id, const NodeId& from);
 
