--- a/source/agent/request_server.h
+++ b/source/agent/request_server.h
@@ -50,6 +50,9 @@
 /// refuses what cannot finish in time, and runs each request at most once.
 class RequestServer : public AgentPart {
  public:
+  /// Time over which RecentP99() and RecentCount() look back.
+  static constexpr Millis kLatencySpan{10'000};
+
   RequestServer(RequestServerOptions options,
                 const Clock& clock,
                 Transport& transport,
@@ -70,6 +73,9 @@
   /// zero without recent requests.
   Millis RecentP99() const { return m_latency.P99(m_clock.Now()); }
 
+  /// Number of requests that RecentP99() covers.
+  size_t RecentCount() const { return m_latency.CountAt(m_clock.Now()); }
+
  private:
   struct Running {
     NodeId entry;
