Bench: Add baselines and a hung connection to the interactive path

Adds plan limits alone and fixed retries as baselines of admission and of the retry budget, and a connection of one executor that never answers to the faults.

--- a/bench/interactive_bench.cc
+++ b/bench/interactive_bench.cc
@@ -1,8 +1,12 @@
 #include <algorithm>
+#include <memory>
 #include <string>
+#include <type_traits>
 
 #include "bench/benchmark.h"
 #include "bench/interactive_cluster.h"
+#include "source/entry/plan_admission.h"
+#include "source/entry/retry_policy.h"
 #include "source/entry/routing_policy.h"
 
 namespace fulmarrock::bench {
@@ -35,7 +39,7 @@
 }
 
 template <typename Routing>
-EntryPolicies MakeRandomRouting(RandomSource& random) {
+EntryPolicies MakeRouting(RandomSource& random) {
   EntryPolicies policies;
   if constexpr (std::is_constructible_v<Routing, RandomSource&>)
     policies.routing = std::make_unique<Routing>(random);
@@ -44,6 +48,18 @@
   return policies;
 }
 
+EntryPolicies MakePlanAdmission(RandomSource&) {
+  EntryPolicies policies;
+  policies.admission = std::make_unique<PlanAdmission>(20'000);
+  return policies;
+}
+
+EntryPolicies MakeFixedRetries(RandomSource&) {
+  EntryPolicies policies;
+  policies.retries = std::make_unique<FixedRetries>(3);
+  return policies;
+}
+
 void MeasurePreviews() {
   double worst_ideal = 0;
   double worst_random = 1e9;
@@ -52,12 +68,11 @@
         DrawArrivals(deployment, kLoad, kDuration, kCustomers, kSeed);
     const double ideal = P99(arrivals, RunIdeal(deployment, arrivals));
     const RunResult own = RunCluster(deployment, arrivals);
-    const double random = P99(
+    const double random = P99(arrivals, RunCluster(deployment, arrivals, {},
+                                                   MakeRouting<RandomRouting>));
+    const double round_robin = P99(
         arrivals,
-        RunCluster(deployment, arrivals, {}, MakeRandomRouting<RandomRouting>));
-    const double round_robin =
-        P99(arrivals, RunCluster(deployment, arrivals, {},
-                                 MakeRandomRouting<RoundRobinRouting>));
+        RunCluster(deployment, arrivals, {}, MakeRouting<RoundRobinRouting>));
     const double p99 = P99(arrivals, own);
     worst_ideal = std::max(worst_ideal, p99 / ideal);
     worst_random = std::min(worst_random, random / p99);
@@ -109,10 +124,12 @@
   failing.failing_executor = 1;
   Faults silent;
   silent.silent_executor = 2;
+  silent.hanging_executor = 3;
   Faults all;
   all.slow_executor = 0;
   all.failing_executor = 1;
   all.silent_executor = 2;
+  all.hanging_executor = 3;
   double worst = MeasureFaults("slow", slow, false);
   worst = std::max(worst, MeasureFaults("failing", failing, false));
   worst = std::max(worst, MeasureFaults("silent", silent, false));
@@ -123,6 +140,7 @@
 
 void MeasureIsolation() {
   double worst = 0;
+  double worst_baseline = 0;
   for (const Deployment& deployment : AllDeployments()) {
     const auto quiet =
         DrawArrivals(deployment, kLoad, kDuration, kCustomers, kSeed);
@@ -132,23 +150,36 @@
         Percentile(quiet, RunCluster(deployment, quiet), 0.99, IsQuietInWave);
     const double during =
         Percentile(noisy, RunCluster(deployment, noisy), 0.99, IsQuietInWave);
+    const double during_baseline =
+        Percentile(noisy, RunCluster(deployment, noisy, {}, MakePlanAdmission),
+                   0.99, IsQuietInWave);
     worst = std::max(worst, during / before);
+    worst_baseline = std::max(worst_baseline, during_baseline / before);
   }
   ReportFigure("isolation_p99_ratio", worst, "x");
+  ReportFigure("isolation_p99_ratio_plan_limits_only", worst_baseline, "x");
 }
 
 void MeasureRetries() {
+  const auto amplification = [](const RunResult& result) {
+    return static_cast<double>(result.copies) /
+           static_cast<double>(result.requests);
+  };
   double worst = 0;
+  double worst_baseline = 0;
   for (const Deployment& deployment : AllDeployments()) {
     const auto arrivals =
         DrawArrivals(deployment, 0.5, kDuration, kCustomers, kSeed);
     Faults faults;
     faults.failure_share = 0.3;
     const RunResult result = RunCluster(deployment, arrivals, faults);
-    worst = std::max(worst, static_cast<double>(result.copies) /
-                                static_cast<double>(result.requests));
+    worst = std::max(worst, amplification(result));
+    worst_baseline = std::max(
+        worst_baseline, amplification(RunCluster(deployment, arrivals, faults,
+                                                 MakeFixedRetries)));
   }
   ReportFigure("retry_amplification", worst, "x");
+  ReportFigure("retry_amplification_fixed_retries", worst_baseline, "x");
 }
 
 const BenchmarkRegistration kPreviews("interactive_preview", MeasurePreviews);
--- a/bench/interactive_cluster.cc
+++ b/bench/interactive_cluster.cc
@@ -58,6 +58,10 @@
       : m_clock(clock), m_arrivals(arrivals), m_random(random) {}
 
   void Submit(const TargetRequest& request, Done done) override {
+    if (hangs_once) {
+      hangs_once = false;
+      return;
+    }
     const Arrival& arrival = m_arrivals[std::stoul(request.body)];
     Item item;
     item.done = std::move(done);
@@ -83,6 +87,7 @@
 
   int64_t slowdown = 1;
   bool fails_at_once = false;
+  bool hangs_once = false;
   double failure_share = 0;
 
  private:
@@ -219,7 +224,7 @@
   void AddEntry(int i, const PolicyFactory& policies) {
     EntryOptions options;
     options.id = EntryName(i);
-    options.incarnation = static_cast<Incarnation>(1000 + i);
+    options.incarnation = 1000 + static_cast<Incarnation>(i);
     options.data_centre = CentreOf(i);
     options.control_members = {"control-1"};
     m_entries.push_back(std::make_unique<EntryRole>(
@@ -236,7 +241,7 @@
     RequestServerOptions options;
     options.service = "previews";
     options.data_centre = CentreOf(i);
-    options.incarnation = static_cast<Incarnation>(2000 + i);
+    options.incarnation = 2000 + static_cast<Incarnation>(i);
     options.slots = m_deployment.slots;
     for (int j = 0; j < m_deployment.data_centres; ++j)
       options.entries.push_back(EntryName(j));
@@ -245,6 +250,7 @@
     FakeExecutor& executor = *m_executors.back();
     executor.slowdown = i == faults.slow_executor ? 10 : 1;
     executor.fails_at_once = i == faults.failing_executor;
+    executor.hangs_once = i == faults.hanging_executor;
     executor.failure_share = faults.failure_share;
     m_transports.push_back(std::make_unique<LaggingTransport>(
         m_clock, m_network.TransportOf(AgentName(i))));
--- a/bench/interactive_cluster.h
+++ b/bench/interactive_cluster.h
@@ -60,6 +60,7 @@
   int slow_executor = -1;     ///< Takes ten times as long.
   int failing_executor = -1;  ///< Answers 500 at once.
   int silent_executor = -1;   ///< Cut off from entry 0, in both directions.
+  int hanging_executor = -1;  ///< One of its connections never answers.
   double failure_share = 0;   ///< Share of answers that are a 500.
 };
 
