--- a/tests/lease/failure_test.cc
+++ b/tests/lease/failure_test.cc
@@ -19,12 +19,12 @@
 const Script kScripts[] = {
     {"a crashed agent's task is granted again before its lease expired",
      "run 500\nsubmit a 1 batch\nrun 500\nexpect-executing 1\n"
-     "crash-agent 0 400\nrun 600\nstart-agent 0\nrun 5000\n"
+     "crash-agent 0 process\nrun 600\nstart-agent 0\nrun 5000\n"
      "expect a running 1\nrun 12000\nexpect-executing 1\nsettle\n"
      "expect a completed 1\n"},
     {"a lost worker's tasks stay with it",
      "run 500\nsubmit a 6 fixed\nrun 500\nexpect-executing 6\n"
-     "crash-agent 0 400\nrun 20000\nexpect-executing 6\n"
+     "crash-agent 0 instance\nrun 20000\nexpect-executing 6\n"
      "expect a running 6\nsettle\nexpect a completed 6\n"},
     {"an isolated worker goes on past its lease",
      "run 500\nsubmit a 3 kernel\nrun 500\nexpect-executing 3\n"
--- a/tests/support/control_cluster.h
+++ b/tests/support/control_cluster.h
@@ -41,7 +41,7 @@
   };
 
   /// Returns what an agent uses as its worker; lets a test observe or break it.
-  using WorkerWrapper = std::function<WorkerClient&(size_t agent)>;
+  using WorkerWrapper = std::function<WorkerClient&(size_t agent, FakeWorker&)>;
 
   /// Agents' clocks drift by up to 2 percent in both directions.
   ControlCluster(size_t members,
@@ -59,8 +59,8 @@
 
   void CrashMember(size_t index);
   void StartMember(size_t index);
-  /// The worker ends the tasks of a crashed agent within `grace`.
-  void CrashAgent(size_t index, Millis grace = Millis(400));
+  /// Crashes the agent alone, or the worker with it.
+  void CrashAgent(size_t index, bool with_worker);
   void StartAgent(size_t index);
 
   ControlNode& leader();
