Net: Keep events for the agent in charge, and ping only when an answer is awaited

Under the thread sanitizer a task of a new agent was never reported as started: the earlier agent still polled and its requests removed events from the worker. A request for events now names its session, and only the current session removes events. Connections ping while an answer is overdue or after five idle seconds, since thousands of idle connections would otherwise cost a PING twice a second each; frames for an unreachable peer expire without being sent.

--- a/source/daemon/daemon.cc
+++ b/source/daemon/daemon.cc
@@ -213,6 +213,9 @@
     m_agent->role().BeginShutdown();
   if (phase == StopPhase::kControl && m_control)
     m_control->BeginShutdown();
+  // Callers on open connections still get their answers.
+  if (phase == StopPhase::kReplies)
+    m_server.StopAccepting();
 }
 
 bool Daemon::IsPhaseDone() const {
--- a/source/net/http2_connection.cc
+++ b/source/net/http2_connection.cc
@@ -25,6 +25,7 @@
 constexpr size_t kMaxBufferedBytes = 2 * kMaxFrameBytes;
 constexpr size_t kMaxNodeIdBytes = 128;
 constexpr Millis kPingInterval{500};
+constexpr Millis kIdlePingInterval{5'000};
 constexpr std::string_view kMessagePath = "/v1/messages";
 constexpr std::string_view kSenderHeader = "fulmarrock-sender";
 constexpr std::string_view kAddressHeader = "fulmarrock-address";
@@ -191,7 +192,8 @@
       m_fd(std::move(fd)),
       m_listener(listener),
       m_last_receive(loop.clock().Now()),
-      m_last_ping(m_last_receive) {
+      m_last_ping(m_last_receive),
+      m_waiting_since(m_last_receive) {
   nghttp2_session_callbacks* callbacks = Callbacks::Create();
   if (side == Side::kClient)
     nghttp2_session_client_new(&m_session, callbacks, this);
@@ -256,17 +258,31 @@
   }
   m_stream_bytes += stream->body.size();
   m_streams.emplace(id, std::move(stream));
+  ExpectAnswer();
 }
 
 void Http2Connection::Ping() {
   const Millis now = m_loop.clock().Now();
-  if (m_is_closed || now - m_last_ping < kPingInterval)
+  const Millis interval = m_is_waiting ? kPingInterval : kIdlePingInterval;
+  if (m_is_closed || now - std::max(m_last_ping, m_last_receive) < interval)
     return;
   m_last_ping = now;
   nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
+  ExpectAnswer();
   Flush();
 }
 
+void Http2Connection::ExpectAnswer() {
+  if (m_is_waiting)
+    return;
+  m_is_waiting = true;
+  m_waiting_since = m_loop.clock().Now();
+}
+
+Millis Http2Connection::SilentTime() const {
+  return m_is_waiting ? m_loop.clock().Now() - m_waiting_since : Millis();
+}
+
 void Http2Connection::Flush() {
   while (!m_is_closed) {
     while (m_output.size() < kOutputBytes) {
@@ -337,6 +353,9 @@
                nghttp2_strerror(static_cast<int>(used)),
            kProtocolRemedy});
   }
+  // Whatever arrives is progress; what is still in flight is awaited anew.
+  m_is_waiting = !m_streams.empty();
+  m_waiting_since = m_last_receive;
 }
 
 void Http2Connection::UpdateWatch() {
--- a/source/net/http2_connection.h
+++ b/source/net/http2_connection.h
@@ -56,15 +56,20 @@
   /// Closes the socket without telling the listener.
   void Shut();
 
-  /// Sends a PING when none was sent for a while.
+  /// Sends a PING if an answer is overdue, or if the connection was idle for
+  /// long. An idle connection between thousands of processes stays cheap.
   void Ping();
 
   /// Whether the peer has proven that it speaks the protocol.
   bool is_ready() const { return m_is_ready; }
   bool is_closed() const { return m_is_closed; }
 
+  /// Time for which the peer has owed an answer and sent nothing; zero while
+  /// nothing is expected of it.
+  Millis SilentTime() const;
+
   /// Time since the peer last sent anything, or since the connection began.
-  Millis SilentTime() const { return m_loop.clock().Now() - m_last_receive; }
+  Millis IdleTime() const { return m_loop.clock().Now() - m_last_receive; }
 
   /// Frames sent and not acknowledged, and the sum of their sizes.
   size_t in_flight() const { return m_streams.size(); }
@@ -77,6 +82,7 @@
   void OnEvents(uint32_t events);
   void Receive();
   void UpdateWatch();
+  void ExpectAnswer();
   void FinishBody(int32_t stream_id, Stream& stream);
   void EraseStream(int32_t stream_id);
   void Close(Error error);
@@ -93,6 +99,9 @@
   uint32_t m_watched_events = 0;
   Millis m_last_receive;
   Millis m_last_ping;
+  // Since when an answer is awaited: to the connection, a frame or a PING.
+  bool m_is_waiting = true;
+  Millis m_waiting_since;
   bool m_is_ready = false;
   bool m_is_closed = false;
   // Set inside nghttp2's callbacks, where the session must not be destroyed.
--- a/source/net/http2_transport.cc
+++ b/source/net/http2_transport.cc
@@ -19,8 +19,9 @@
 constexpr Millis kCheckInterval{100};
 constexpr Millis kSuspectAfter{1'000};
 constexpr Millis kReplaceAfter{2'000};
-// A peer pings twice a second, so a longer silence means that it is gone.
-constexpr Millis kIncomingSilence{10'000};
+// A peer pings an idle connection every five seconds, so a silence of several
+// times that means that it is gone.
+constexpr Millis kIncomingSilence{20'000};
 constexpr Millis kFirstBackoff{50};
 constexpr Millis kMaxBackoff{2'000};
 constexpr size_t kMaxInFlight = 100;
@@ -147,14 +148,6 @@
   Retire(std::move(peer->candidate));
 }
 
-bool Http2Transport::IsIdle() const {
-  return std::all_of(m_peers.begin(), m_peers.end(), [](const auto& entry) {
-    const Peer& peer = *entry.second;
-    return peer.queue.is_empty() &&
-           (!peer.active || peer.active->in_flight() == 0);
-  });
-}
-
 std::string Http2Transport::DumpState() const {
   nlohmann::json json;
   json["self"] = m_options.self;
@@ -254,7 +247,7 @@
   for (const auto& [node, peer] : m_peers)
     CheckPeer(*peer);
   for (auto it = m_incoming.begin(); it != m_incoming.end();) {
-    if (it->second->SilentTime() < kIncomingSilence) {
+    if (it->second->IdleTime() < kIncomingSilence) {
       ++it;
       continue;
     }
@@ -265,6 +258,7 @@
 }
 
 void Http2Transport::CheckPeer(Peer& peer) {
+  peer.queue.DropExpired(m_loop.clock().Now());
   if (!peer.active) {
     if (!peer.queue.is_empty())
       MarkDirty(peer);
--- a/source/net/http2_transport.h
+++ b/source/net/http2_transport.h
@@ -36,8 +36,8 @@
 /// Transport over one persistent HTTP/2 connection per peer and direction.
 /// Belongs to the thread of its loop.
 ///
-/// A connection from which nothing came for a second while PINGs are out is
-/// suspect: a second one is opened beside it, and takes its place when the
+/// A connection from which nothing came for a second while an answer is awaited
+/// is suspect: a second one is opened beside it, and takes its place when the
 /// first stays silent for two seconds in total. Frames that were in flight are
 /// counted as lost and not sent again, since a repeat could run a request
 /// twice; roles repeat what is safe to repeat.
@@ -63,9 +63,6 @@
   /// Address that peers are told.
   const std::string& address() const { return m_address; }
 
-  /// Whether no frame waits or is in flight.
-  bool IsIdle() const;
-
   /// Returns connections and queues as JSON.
   std::string DumpState() const;
 
--- a/source/net/http_worker_client.cc
+++ b/source/net/http_worker_client.cc
@@ -149,7 +149,8 @@
 void HttpWorkerClient::Poll() {
   HttpClientRequest request;
   request.url = "http://" + m_options.address +
-                "/events?after=" + std::to_string(m_last_event);
+                "/events?after=" + std::to_string(m_last_event) +
+                "&session=" + std::to_string(m_session);
   request.timeout = m_options.request_timeout;
   m_client.Send(std::move(request), [this](const HttpClientResponse& answer) {
     OnPolled(answer);
--- a/source/net/peer_queue.cc
+++ b/source/net/peer_queue.cc
@@ -15,11 +15,15 @@
   }
 }
 
-std::optional<std::string> PeerQueue::Pop(Millis now) {
+void PeerQueue::DropExpired(Millis now) {
   while (!m_frames.empty() && now - m_frames.front().since > m_limits.max_age) {
     m_counters.Add("transport_dropped_expired");
     Erase(m_frames.begin());
   }
+}
+
+std::optional<std::string> PeerQueue::Pop(Millis now) {
+  DropExpired(now);
   if (m_frames.empty())
     return std::nullopt;
   std::string frame = std::move(m_frames.front().frame);
--- a/source/net/peer_queue.h
+++ b/source/net/peer_queue.h
@@ -33,6 +33,9 @@
   /// Returns the oldest frame that is still worth sending, if any.
   std::optional<std::string> Pop(Millis now);
 
+  /// Drops the frames that are too old, for a peer that cannot be reached.
+  void DropExpired(Millis now);
+
   bool is_empty() const { return m_frames.empty(); }
   size_t size() const { return m_frames.size(); }
   size_t bytes() const { return m_bytes; }
--- a/source/standin/standin_worker.cc
+++ b/source/standin/standin_worker.cc
@@ -30,6 +30,13 @@
           static_cast<uint32_t>(reader.Integer("index", 0, UINT32_MAX))};
 }
 
+/// Returns a number from a query argument, or zero.
+uint64_t ReadNumber(std::string_view text) {
+  uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
 /// Returns the work done up to a checkpoint of this stand-in.
 double WorkDone(std::string_view checkpoint) {
   int64_t done = 0;
@@ -67,13 +74,17 @@
 }
 
 HttpResponse StandinWorker::OnEvents(const HttpRequest& request) {
-  uint64_t after = 0;
-  const std::string_view text = request.Query("after");
-  std::from_chars(text.data(), text.data() + text.size(), after);
-  while (!m_events.empty() && m_events.front().sequence <= after)
+  const uint64_t after = ReadNumber(request.Query("after"));
+  // An earlier agent that still polls must not take events from the new one.
+  const bool is_current = ReadNumber(request.Query("session")) == m_session;
+  while (is_current && !m_events.empty() &&
+         m_events.front().sequence <= after) {
     m_events.pop_front();
+  }
   json events = json::array();
   for (const Event& event : m_events) {
+    if (event.sequence <= after)
+      continue;
     events.push_back({{"sequence", event.sequence},
                       {"session", event.session},
                       {"job", event.task.job},
--- a/tests/net/http2_transport_test.cc
+++ b/tests/net/http2_transport_test.cc
@@ -2,6 +2,8 @@
 
 #include <sys/socket.h>
 
+#include <random>
+
 #include <catch2/catch.hpp>
 
 #include "source/base/seeded_random.h"
@@ -203,6 +205,17 @@
     REQUIRE(::send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL) > 0);
     CHECK(b.WaitForCounter("transport_corrupt_connections", 1));
   }
+  SECTION("random bytes behind a correct preface") {
+    std::mt19937 random(20261204);
+    for (int i = 0; i < 50; ++i) {
+      const UniqueFd fd = ConnectRaw(b.Address());
+      std::string text = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+      for (int j = 0; j < 500; ++j)
+        text += static_cast<char>(random());
+      REQUIRE(::send(fd.get(), text.data(), text.size(), MSG_NOSIGNAL) > 0);
+    }
+    CHECK(b.WaitForCounter("transport_corrupt_connections", 1));
+  }
   SECTION("a truncated frame") {
     RawSender sender(b.Address());
     sender.Send(EncodeFrame(Numbered(2)).substr(0, 25));
--- a/tests/process/embedded_test.sh
+++ b/tests/process/embedded_test.sh
@@ -66,6 +66,14 @@
 wait_until "the job is known again" tool show --address "$http_all" "$job"
 tool show --address "$http_all" "$job" | grep -q '5 completed' || fail "the job is not complete"
 tool get --address "$http_all" | grep -q north-gallery || fail "the lists are gone"
+
+# Guards against a process that cannot be stopped while a request hangs.
+wait_until "the entry knows the target" knows_target "$http_all"
+http POST "$address_target" /behaviour '{"frozen": true}' >/dev/null
+call "$http_all" wallwright/order x "Fulmarrock-Deadline-Ms: 600000" >"$work/hung" &
+wait_until "the request hangs" runs_at_least "$address_target" 1
 kill -TERM "$pid_all"
-wait_for_exit all 0
+wait_until "the stop begins" grep -q 'planned stop begins' "$work/all.log"
+kill -TERM "$pid_all"
+wait_for_exit all 1
 echo "passed"
--- a/tests/process/process_library.sh
+++ b/tests/process/process_library.sh
@@ -18,6 +18,8 @@
   rm -rf "$work"
 }
 trap stop_all EXIT
+# Names the command that ended the script under "set -e".
+trap 'echo "$0: line $LINENO: $BASH_COMMAND failed" >&2' ERR
 
 fail() {
   echo "FAILED: $*" >&2
