Daemon: Measure the service's latency over one second for throttling

The window of ten seconds kept showing a violation long after a cut, so the throttle would cut again for the same requests. It also did not build with the sample's new window field. The request server's window is one second, and the probe reports it. tests/net and tests/interactive pass.

--- a/source/agent/request_server.cc
+++ b/source/agent/request_server.cc
@@ -13,7 +13,6 @@
 
 // Latencies kept for the recent p99.
 constexpr size_t kLatencySamples = 1024;
-constexpr Millis kLatencySpan{10'000};
 
 // Share of a new sample in the smoothed service time. Service times are heavy
 // tailed, so a single long request must not move the estimate much.
@@ -33,7 +32,7 @@
       m_counters(counters),
       m_queue(m_options.max_queued),
       m_records(m_options.records),
-      m_latency(kLatencySamples, kLatencySpan),
+      m_latency(kLatencySamples, kLatencyWindow),
       m_next_announce(clock.Now()),
       m_last_reply(clock.Now()),
       m_self(std::make_shared<RequestServer*>(this)) {}
--- a/source/agent/request_server.h
+++ b/source/agent/request_server.h
@@ -66,6 +66,10 @@
   /// Replaces the affinity names (for example kernels) that this target owns.
   void SetAffinities(std::vector<std::string> affinities);
 
+  /// Window of RecentP99(). Short, so that throttling sees its own effect
+  /// before it decides again.
+  static constexpr Millis kLatencyWindow{1'000};
+
   /// Time from arrival to answer that 99% of recent requests stay within, or
   /// zero without recent requests.
   Millis RecentP99() const { return m_latency.P99(m_clock.Now()); }
--- a/source/daemon/service_latency_probe.h
+++ b/source/daemon/service_latency_probe.h
@@ -23,8 +23,13 @@
   std::optional<LatencySample> Read() const override {
     const Millis now = m_clock.Now();
     if (!m_sample || now - m_sample->measured_at >= Millis(100)) {
-      m_sample = LatencySample{m_server.RecentP99(), m_objective, now,
-                               static_cast<int64_t>(m_server.RecentCount())};
+      LatencySample sample;
+      sample.p99 = m_server.RecentP99();
+      sample.objective = m_objective;
+      sample.measured_at = now;
+      sample.window = RequestServer::kLatencyWindow;
+      sample.request_count = static_cast<int64_t>(m_server.RecentCount());
+      m_sample = sample;
     }
     return m_sample;
   }
