--- a/source/agent/request_server.cc
+++ b/source/agent/request_server.cc
@@ -32,7 +32,7 @@
       m_counters(counters),
       m_queue(m_options.max_queued),
       m_records(m_options.records),
-      m_latency(kLatencySamples, kLatencyWindow),
+      m_latency(kLatencySamples, kLatencySpan),
       m_next_announce(clock.Now()),
       m_last_reply(clock.Now()),
       m_self(std::make_shared<RequestServer*>(this)) {}
--- a/source/agent/request_server.h
+++ b/source/agent/request_server.h
@@ -50,6 +50,10 @@
 /// refuses what cannot finish in time, and runs each request at most once.
 class RequestServer : public AgentPart {
  public:
+  /// Time over which RecentP99() and RecentCount() look back. Short, so that
+  /// throttling sees the effect of a cut before it decides again.
+  static constexpr Millis kLatencySpan{1'000};
+
   RequestServer(RequestServerOptions options,
                 const Clock& clock,
                 Transport& transport,
@@ -66,10 +70,6 @@
   /// Replaces the affinity names (for example kernels) that this target owns.
   void SetAffinities(std::vector<std::string> affinities);
 
-  /// Window of RecentP99(). Short, so that throttling sees its own effect
-  /// before it decides again.
-  static constexpr Millis kLatencyWindow{1'000};
-
   /// Time from arrival to answer that 99% of recent requests stay within, or
   /// zero without recent requests.
   Millis RecentP99() const { return m_latency.P99(m_clock.Now()); }
