--- a/source/net/event_loop.h
+++ b/source/net/event_loop.h
@@ -56,7 +56,8 @@
   TimerId AddTimer(Millis delay, Function function);
   void CancelTimer(TimerId id);
 
-  /// Calls `function` every kTickInterval for as long as the loop exists.
+  /// Calls `function` every kTickInterval for as long as the loop exists. Must
+  /// not be called from such a function.
   void AddTicker(Function function);
 
   const Clock& clock() const { return m_clock; }
--- a/source/net/http2_transport.cc
+++ b/source/net/http2_transport.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -87,13 +88,14 @@
   m_address = m_options.announced_address.empty()
                   ? LocalAddress(m_listener.get())
                   : m_options.announced_address;
-  m_loop.Watch(m_listener.get(), EPOLLIN, [this](uint32_t) { Accept(); });
+  WatchListener();
   ScheduleTick();
   return {};
 }
 
 void Http2Transport::Stop() {
   m_loop.CancelTimer(m_tick_timer);
+  m_loop.CancelTimer(m_accept_timer);
   if (m_listener.is_open()) {
     m_loop.Unwatch(m_listener.get());
     m_listener.Reset();
@@ -219,8 +221,11 @@
   while (true) {
     UniqueFd fd(::accept4(m_listener.get(), nullptr, nullptr,
                           SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (!fd.is_open())
+    if (!fd.is_open()) {
+      if (errno == EMFILE || errno == ENFILE)
+        PauseAccepting();
       return;
+    }
     if (m_incoming.size() >= m_options.max_incoming_connections) {
       m_counters.Add("transport_refused_connections");
       continue;
@@ -236,6 +241,17 @@
   }
 }
 
+void Http2Transport::PauseAccepting() {
+  m_counters.Add("transport_out_of_descriptors");
+  m_loop.Unwatch(m_listener.get());
+  // The connection that waits would wake the loop again at once.
+  m_accept_timer = m_loop.AddTimer(kCheckInterval, [this] { WatchListener(); });
+}
+
+void Http2Transport::WatchListener() {
+  m_loop.Watch(m_listener.get(), EPOLLIN, [this](uint32_t) { Accept(); });
+}
+
 void Http2Transport::ScheduleTick() {
   m_tick_timer = m_loop.AddTimer(kCheckInterval, [this] {
     OnTick();
--- a/source/net/http2_transport.h
+++ b/source/net/http2_transport.h
@@ -77,7 +77,9 @@
   void OnAcknowledged(Http2Connection& connection) override;
   void OnClosed(Http2Connection& connection, const Error& error) override;
 
+  void WatchListener();
   void Accept();
+  void PauseAccepting();
   void ScheduleTick();
   void OnTick();
   void CheckPeer(Peer& peer);
@@ -101,6 +103,7 @@
   std::unordered_map<Http2Connection*, Peer*> m_owners;
   std::vector<Peer*> m_dirty;
   EventLoop::TimerId m_tick_timer = 0;
+  EventLoop::TimerId m_accept_timer = 0;
   Error m_last_error;
   // Posted functions outlive the transport; they hold this token weakly.
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
