--- a/tests/process/process_library.sh
+++ b/tests/process/process_library.sh
@@ -18,6 +18,9 @@
   rm -rf "$work"
 }
 trap stop_all EXIT
+# Names the command that ended the script under "set -e", in functions too.
+set -E
+trap 'echo "$0: line $LINENO: $BASH_COMMAND failed" >&2' ERR
 
 fail() {
   echo "FAILED: $*" >&2
@@ -40,7 +43,10 @@
 start() {
   local name=$1
   shift
-  "$@" >"$work/$name.log" 2>&1 &
+  # Emptied here and not by the program's own redirection, which may come after
+  # the first look for its lines: a restart would find those of the last run.
+  : >"$work/$name.log"
+  "$@" >>"$work/$name.log" 2>&1 &
   pids+=($!)
   declare -g "pid_$name=$!"
 }
