Scenarios: Break the refusal rule at a target that looks healthy

An agent now sends nothing to an unhealthy target, so the broken fake was never asked. The target passes its health check and refuses connections instead, and the invariant notices.

--- a/tests/scenario/scenario_test.cc
+++ b/tests/scenario/scenario_test.cc
@@ -85,8 +85,8 @@
        "target a1 fault=cut-answer\ntarget a2 fault=cut-answer",
        "got the answer"},
       {"request/preview.scn", "request",
-       "target a1 crash fault=run-refused\n"
-       "target a2 crash fault=run-refused",
+       "target a1 refuse fault=run-refused\n"
+       "target a2 refuse fault=run-refused",
        "reported as not run but ran"}};
   for (const BrokenRule& rule : rules) {
     DYNAMIC_SECTION(rule.script << " with " << rule.step) {
--- a/tests/support/scenario_runner.cc
+++ b/tests/support/scenario_runner.cc
@@ -355,6 +355,8 @@
     target.Crash();
   if (step.HasWord("recover"))
     target.Recover();
+  if (step.HasWord("refuse"))
+    target.RefuseConnections();
   if (step.HasWord("hang"))
     target.hangs = true;
   if (step.HasWord("answer"))
