Lease: Test that only the leader renews

A renewal from a follower or a replaced leader could prolong a lease that the leader has released; nothing guarded against an answer from either.

--- a/tests/lease/lease_monitor_test.cc
+++ b/tests/lease/lease_monitor_test.cc
@@ -143,6 +143,26 @@
   CHECK_FALSE(agent.reply->is_renewed);
 }
 
+// Guards against a lease that a member prolongs without leading: it cannot know
+// what the leader released.
+TEST_CASE("followers and replaced leaders give no renewals") {
+  ControlCluster cluster(3, 0, 1);
+  cluster.ApplyDefaultLists();
+  ManualAgent agent(cluster);
+  agent.Renew(0, 0);
+  CHECK(agent.reply);
+  const Millis now = cluster.clock.Now();
+  agent.reply.reset();
+  cluster.network.TransportOf("worker").Send("control1",
+                                             LeaseRenew{5, 0, 0, now, now});
+  cluster.Run(Millis(50));
+  CHECK_FALSE(agent.reply);
+  cluster.log.ChangeLeader("control2");
+  cluster.Run(Millis(100));
+  agent.Renew(0, 0);
+  CHECK_FALSE(agent.reply);
+}
+
 // Guards against renewing leases that are not current.
 TEST_CASE("a digest mismatch leads to a report that names what to stop") {
   ControlCluster cluster(1, 0, 1);
