Agent: Send the rest of a burst of events at once

A message holds at most 1,000 events, and the next part waited for the retry interval: of 2,500 completions at one worker, 1,000 were committed after 200 ms. The next part is now sent with the acknowledgement of the previous one, and all 2,500 are committed within that time.

--- a/source/agent/task_runner.cc
+++ b/source/agent/task_runner.cc
@@ -231,6 +231,9 @@
     m_events.pop_front();
     ++m_first_sequence;
   }
+  // One message holds a part of a burst; the next part need not wait.
+  const uint64_t last_sequence = m_first_sequence + m_events.size() - 1;
+  m_has_unsent_events |= last_sequence > m_last_sent_sequence;
 }
 
 TaskRunner::Lease& TaskRunner::AddLease(TaskId task, Epoch epoch) {
@@ -394,6 +397,7 @@
   const size_t count = std::min(m_events.size(), kMaxEventsPerMessage);
   message.events.assign(m_events.begin(),
                         m_events.begin() + static_cast<ptrdiff_t>(count));
+  m_last_sent_sequence = m_first_sequence + count - 1;
   SendToControl(message);
 }
 
--- a/source/agent/task_runner.h
+++ b/source/agent/task_runner.h
@@ -131,6 +131,7 @@
   Millis m_answered_at;
   std::deque<TaskEvent> m_events;
   uint64_t m_first_sequence = 1;
+  uint64_t m_last_sent_sequence = 0;
   bool m_has_unsent_events = false;
   std::vector<TaskUsage> m_usage;
 
--- a/tests/control/job_flow_test.cc
+++ b/tests/control/job_flow_test.cc
@@ -37,5 +37,23 @@
   CHECK(cluster.leader().scheduler.running_count() == 0);
 }
 
+// Guards against a burst of events that drips out with the retries, one message
+// a second.
+TEST_CASE("a burst of completions is committed at once") {
+  ControlCluster cluster(1, 0, 1);
+  cluster.worker_capacity = {3'000'000, 3'000'000, 0};
+  cluster.AddAgent();
+  cluster.ApplyDefaultLists();
+  const JobId job = *cluster.Submit(MakeSpec(2'500), "submit");
+  const JobRecord& record = *cluster.state().jobs().Find(job);
+  FakeWorker& worker = cluster.agents[0]->worker;
+  REQUIRE(cluster.RunUntil([&] { return worker.tasks().size() == 2'500; }));
+  cluster.Run(Millis(2'000));
+  for (uint32_t i = 0; i < 2'500; ++i)
+    worker.Finish({job, i}, TaskEventKind::kCompleted);
+  cluster.Run(Millis(200));
+  CHECK(record.Count(TaskState::kCompleted) == 2'500);
+}
+
 }  // namespace
 }  // namespace fulmarrock::test
--- a/tests/support/control_cluster.cc
+++ b/tests/support/control_cluster.cc
@@ -20,13 +20,8 @@
     StartMember(i);
   }
   log.ChangeLeader(members[0]->node);
-  for (size_t i = 0; i < agent_count; ++i) {
-    const auto drift = static_cast<int64_t>(random.Below(41)) - 20;
-    agents.push_back(std::make_unique<AgentNode>(
-        clock, Millis(static_cast<int64_t>(random.Below(10'000'000))), drift));
-    agents[i]->node = "agent" + std::to_string(i);
-    StartAgent(i);
-  }
+  for (size_t i = 0; i < agent_count; ++i)
+    AddAgent();
 }
 
 ControlCluster::~ControlCluster() = default;
@@ -102,6 +97,15 @@
   agent.runner.reset();
 }
 
+void ControlCluster::AddAgent() {
+  const size_t index = agents.size();
+  const auto drift = static_cast<int64_t>(random.Below(41)) - 20;
+  agents.push_back(std::make_unique<AgentNode>(
+      clock, Millis(static_cast<int64_t>(random.Below(10'000'000))), drift));
+  agents[index]->node = "agent" + std::to_string(index);
+  StartAgent(index);
+}
+
 void ControlCluster::StartAgent(size_t index) {
   AgentNode& agent = *agents[index];
   agent.incarnation = random.Next() | 1;
--- a/tests/support/control_cluster.h
+++ b/tests/support/control_cluster.h
@@ -62,7 +62,8 @@
   /// Crashes the agent alone, or the worker with it.
   void CrashAgent(size_t index, bool with_worker);
   void StartAgent(size_t index);
-
+  /// Adds and starts an agent with the current worker capacity.
+  void AddAgent();
   ControlNode& leader();
   /// The replicated state at the leader.
   const ControlState& state() { return leader().role->state(); }
