Throttle: Aim a little below the objective

The share now falls from 2% below the objective on, in larger steps both ways.

Tried without gain: 0 and -3% instead of -2% and -4%, slower and faster raises, an immediate cut from an excess of 0.15.

--- a/source/agent/throttle_policy.cc
+++ b/source/agent/throttle_policy.cc
@@ -11,7 +11,7 @@
 
 // Logarithm of a ratio that is hardly chance and is answered at once.
 constexpr double kSevereExcess = 0.3;
-constexpr Millis kSevereInterval{1'000};
+constexpr Millis kSevereInterval{500};
 constexpr double kMaxCut = 0.5;
 
 // The p99 of a thousand heavy-tailed latencies varies by chance by about a
@@ -23,16 +23,18 @@
 
 // Change of the logarithm of the share per second and per unit of the smoothed
 // logarithm of the ratio.
-constexpr double kCutGain = 0.6;
+constexpr double kCutGain = 0.9;
 
-// The share rises below this smoothed logarithm; the gap up to 0 is the
-// hysteresis.
-constexpr double kReleaseBelow = -0.03;
+// Smoothed logarithms above which the share falls and below which it rises;
+// the gap is the hysteresis. The share falls a little before the objective is
+// reached, because measurements are late.
+constexpr double kCutAbove = -0.02;
+constexpr double kReleaseBelow = -0.04;
 
 // Growth of the share per second; slower near the share that was too much the
 // last time.
-constexpr double kFastRaise = 0.16;
-constexpr double kSlowRaise = 0.04;
+constexpr double kFastRaise = 0.2;
+constexpr double kSlowRaise = 0.06;
 constexpr double kNearViolation = 0.9;
 
 // Part of the distance by which the remembered violation recedes per second,
@@ -88,10 +90,11 @@
     return;
   }
   const double seconds = elapsed_ms / 1'000;
-  if (m_excess > 0) {
+  if (m_excess > kCutAbove) {
     m_share_at_violation = m_share;
-    m_share =
-        std::max(m_share * std::exp(-kCutGain * m_excess * seconds), kMinShare);
+    m_share = std::max(
+        m_share * std::exp(-kCutGain * (m_excess - kCutAbove) * seconds),
+        kMinShare);
   } else if (m_excess < kReleaseBelow && sample.request_count >= kMinRequests) {
     const bool is_near = m_share >= m_share_at_violation * kNearViolation;
     m_share = std::min(
