--- a/source/net/http2_transport.cc
+++ b/source/net/http2_transport.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -19,8 +20,9 @@
 constexpr Millis kCheckInterval{100};
 constexpr Millis kSuspectAfter{1'000};
 constexpr Millis kReplaceAfter{2'000};
-// A peer pings twice a second, so a longer silence means that it is gone.
-constexpr Millis kIncomingSilence{10'000};
+// A peer pings an idle connection every five seconds, so a silence of several
+// times that means that it is gone.
+constexpr Millis kIncomingSilence{20'000};
 constexpr Millis kFirstBackoff{50};
 constexpr Millis kMaxBackoff{2'000};
 constexpr size_t kMaxInFlight = 100;
@@ -86,13 +88,14 @@
   m_address = m_options.announced_address.empty()
                   ? LocalAddress(m_listener.get())
                   : m_options.announced_address;
-  m_loop.Watch(m_listener.get(), EPOLLIN, [this](uint32_t) { Accept(); });
+  WatchListener();
   ScheduleTick();
   return {};
 }
 
 void Http2Transport::Stop() {
   m_loop.CancelTimer(m_tick_timer);
+  m_loop.CancelTimer(m_accept_timer);
   if (m_listener.is_open()) {
     m_loop.Unwatch(m_listener.get());
     m_listener.Reset();
@@ -147,14 +150,6 @@
   Retire(std::move(peer->candidate));
 }
 
-bool Http2Transport::IsIdle() const {
-  return std::all_of(m_peers.begin(), m_peers.end(), [](const auto& entry) {
-    const Peer& peer = *entry.second;
-    return peer.queue.is_empty() &&
-           (!peer.active || peer.active->in_flight() == 0);
-  });
-}
-
 std::string Http2Transport::DumpState() const {
   nlohmann::json json;
   json["self"] = m_options.self;
@@ -226,8 +221,11 @@
   while (true) {
     UniqueFd fd(::accept4(m_listener.get(), nullptr, nullptr,
                           SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (!fd.is_open())
+    if (!fd.is_open()) {
+      if (errno == EMFILE || errno == ENFILE)
+        PauseAccepting();
       return;
+    }
     if (m_incoming.size() >= m_options.max_incoming_connections) {
       m_counters.Add("transport_refused_connections");
       continue;
@@ -243,6 +241,17 @@
   }
 }
 
+void Http2Transport::PauseAccepting() {
+  m_counters.Add("transport_out_of_descriptors");
+  m_loop.Unwatch(m_listener.get());
+  // The connection that waits would wake the loop again at once.
+  m_accept_timer = m_loop.AddTimer(kCheckInterval, [this] { WatchListener(); });
+}
+
+void Http2Transport::WatchListener() {
+  m_loop.Watch(m_listener.get(), EPOLLIN, [this](uint32_t) { Accept(); });
+}
+
 void Http2Transport::ScheduleTick() {
   m_tick_timer = m_loop.AddTimer(kCheckInterval, [this] {
     OnTick();
@@ -254,7 +263,7 @@
   for (const auto& [node, peer] : m_peers)
     CheckPeer(*peer);
   for (auto it = m_incoming.begin(); it != m_incoming.end();) {
-    if (it->second->SilentTime() < kIncomingSilence) {
+    if (it->second->IdleTime() < kIncomingSilence) {
       ++it;
       continue;
     }
@@ -265,6 +274,7 @@
 }
 
 void Http2Transport::CheckPeer(Peer& peer) {
+  peer.queue.DropExpired(m_loop.clock().Now());
   if (!peer.active) {
     if (!peer.queue.is_empty())
       MarkDirty(peer);
--- a/tests/lease/lease_property_test.cc
+++ b/tests/lease/lease_property_test.cc
@@ -44,7 +44,7 @@
     case 13:
       return "compact";
     case 14:
-      return "crash-agent " + member + " " + std::to_string(b * 4);
+      return "crash-agent " + member + (b % 2 ? " process" : " instance");
     case 15:
       return "run 500\nstart-agent " + member;
     case 16:
--- a/tests/support/control_scenario.h
+++ b/tests/support/control_scenario.h
@@ -35,14 +35,20 @@
 ///
 /// Commands (tasks are chosen by position among the executing ones):
 ///
-///     submit NAME TASKS KIND       KIND is batch, fixed (no checkpoint),
-///     kernel cancel NAME                  finish N | fail N | evict N apply
-///     WEIGHT                 changes the plan on the newest version repeat N
-///     repeats an earlier operation leader MEMBER OVERLAP KEPT   crash-member N
-///     | start-member N | compact crash-agent N GRACE          start-agent N |
-///     stop-agent N isolate NODE | cut FROM TO | heal delay MS JITTER | loss
-///     PERCENT DUPLICATION | commit MS run MS | settle expect NAME STATE COUNT
-///     counts the job's tasks in a state expect-executing N
+///     submit NAME TASKS KIND     batch, fixed (no checkpoint) or kernel
+///     cancel NAME
+///     finish N | fail N | evict N
+///     apply WEIGHT               changes the plan on the newest version
+///     repeat N                   repeats an earlier operation
+///     leader MEMBER OVERLAP KEPT
+///     crash-member N | start-member N | compact
+///     crash-agent N WHAT         process, or instance with its worker
+///     start-agent N | stop-agent N
+///     isolate NODE | cut FROM TO | heal
+///     delay MS JITTER | loss PERCENT DUPLICATION | commit MS
+///     run MS | settle
+///     expect NAME STATE COUNT    counts the job's tasks in a state
+///     expect-executing N
 class ControlScenario {
  public:
   explicit ControlScenario(uint64_t seed, Sabotage sabotage = Sabotage::kNone);
--- a/tests/support/fake_worker.cc
+++ b/tests/support/fake_worker.cc
@@ -5,9 +5,8 @@
 
 namespace fulmarrock::test {
 
-void FakeWorker::SetListener(WorkerListener* listener) {
-  std::erase_if(m_tasks, [](const auto& item) { return item.second.is_lost; });
-  m_listener = listener;
+void FakeWorker::ExtendLeases(Millis remaining) {
+  m_lease_end = m_clock.Now() + remaining;
 }
 
 void FakeWorker::Start(const TaskGrant& grant) {
@@ -50,31 +49,22 @@
                         TaskEventKind kind,
                         const std::string& detail) {
   const auto it = m_tasks.find(task);
-  if (it == m_tasks.end() || it->second.is_suspended || it->second.is_lost ||
-      !m_listener)
+  if (it == m_tasks.end() || it->second.is_suspended || !m_listener)
     return false;
   End(task, kind, detail);
   return true;
 }
 
-void FakeWorker::LoseAgent(Millis end) {
-  m_listener = nullptr;
-  for (auto& [id, task] : m_tasks) {
-    task.is_lost = true;
-    task.ends_at = end;
-  }
-}
-
 void FakeWorker::Step() {
   const Millis now = m_clock.Now();
-  std::erase_if(m_tasks, [now](const auto& item) {
-    return item.second.is_lost && item.second.ends_at <= now;
-  });
-  if (!m_listener)
+  if (!m_listener) {
+    for (auto& [id, task] : m_tasks)
+      task.is_suspended |= now >= m_lease_end;
     return;
+  }
   std::vector<std::pair<TaskId, TaskEventKind>> due;
   for (const auto& [id, task] : m_tasks) {
-    if (task.ends_at <= now && !task.is_lost)
+    if (task.ends_at <= now)
       due.emplace_back(id, task.ending);
   }
   for (const auto& [id, kind] : due) {
