--- a/source/placement/fair_scheduler.cc
+++ b/source/placement/fair_scheduler.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "source/placement/scheduler_dump.h"
 
 namespace fulmarrock {
 namespace {
@@ -49,12 +49,6 @@
   return std::max<size_t>(1, cluster.known_worker_count() / kWorkersPerClaim);
 }
 
-nlohmann::json ToJson(const Resources& resources) {
-  return {{"cpu_millicores", resources.cpu_millicores},
-          {"memory_mib", resources.memory_mib},
-          {"accelerators", resources.accelerators}};
-}
-
 }  // namespace
 
 FairScheduler::State::State(SchedulerPolicies selected)
@@ -697,40 +691,7 @@
 }
 
 std::string FairScheduler::DumpState() const {
-  const PendingQueue& queue = m_state->queue;
-  nlohmann::json dump;
-  dump["pending"] = {
-      {"urgent", queue.CountOfClass(TaskClass::kUrgent)},
-      {"interactive", queue.CountOfClass(TaskClass::kInteractive)},
-      {"batch", queue.CountOfClass(TaskClass::kBatch)}};
-  dump["blocked_sizes"] = queue.blocked_size_count();
-  dump["running"] = running_count();
-  dump["workers"] = m_state->cluster.known_worker_count();
-  dump["total_capacity"] = ToJson(m_state->cluster.total_capacity());
-  dump["customers"] = nlohmann::json::array();
-  for (CustomerIndex i = 0; i < queue.customer_count(); ++i) {
-    const CustomerState& customer = queue.customer(i);
-    dump["customers"].push_back({{"name", customer.name},
-                                 {"weight", customer.weight},
-                                 {"quota", ToJson(customer.quota)},
-                                 {"running", ToJson(customer.declared)},
-                                 {"is_over_quota", customer.is_over_quota}});
-  }
-  dump["claims"] = nlohmann::json::array();
-  for (const Reservation& claim : m_state->claims.All()) {
-    const std::string node =
-        claim.worker ? m_state->cluster.worker(*claim.worker).info.node : "";
-    dump["claims"].push_back({{"task", ToString(claim.task)},
-                              {"worker", node},
-                              {"need", ToJson(claim.need)}});
-  }
-  dump["quarantined_workers"] = nlohmann::json::array();
-  for (WorkerIndex i = 0; i < m_state->cluster.worker_slots(); ++i) {
-    const Worker& worker = m_state->cluster.worker(i);
-    if (worker.is_quarantined)
-      dump["quarantined_workers"].push_back(worker.info.node);
-  }
-  return dump.dump();
+  return DumpScheduler(m_state->queue, m_state->cluster, m_state->claims);
 }
 
 }  // namespace fulmarrock
--- /dev/null
+++ b/source/placement/scheduler_dump.cc
@@ -0,0 +1,54 @@
+#include "source/placement/scheduler_dump.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fulmarrock {
+namespace {
+
+nlohmann::json ToJson(const Resources& resources) {
+  return {{"cpu_millicores", resources.cpu_millicores},
+          {"memory_mib", resources.memory_mib},
+          {"accelerators", resources.accelerators}};
+}
+
+}  // namespace
+
+std::string DumpScheduler(const PendingQueue& queue,
+                          const Cluster& cluster,
+                          const ReservationTable& claims) {
+  nlohmann::json dump;
+  dump["pending"] = {
+      {"urgent", queue.CountOfClass(TaskClass::kUrgent)},
+      {"interactive", queue.CountOfClass(TaskClass::kInteractive)},
+      {"batch", queue.CountOfClass(TaskClass::kBatch)}};
+  dump["blocked_sizes"] = queue.blocked_size_count();
+  dump["running"] = cluster.task_count();
+  dump["workers"] = cluster.known_worker_count();
+  dump["total_capacity"] = ToJson(cluster.total_capacity());
+  dump["customers"] = nlohmann::json::array();
+  for (CustomerIndex i = 0; i < queue.customer_count(); ++i) {
+    const CustomerState& customer = queue.customer(i);
+    dump["customers"].push_back({{"name", customer.name},
+                                 {"weight", customer.weight},
+                                 {"quota", ToJson(customer.quota)},
+                                 {"running", ToJson(customer.declared)},
+                                 {"is_over_quota", customer.is_over_quota}});
+  }
+  dump["claims"] = nlohmann::json::array();
+  for (const Reservation& claim : claims.All()) {
+    const std::string node =
+        claim.worker ? cluster.worker(*claim.worker).info.node : "";
+    dump["claims"].push_back({{"task", ToString(claim.task)},
+                              {"worker", node},
+                              {"need", ToJson(claim.need)}});
+  }
+  dump["quarantined_workers"] = nlohmann::json::array();
+  for (WorkerIndex i = 0; i < cluster.worker_slots(); ++i) {
+    const Worker& worker = cluster.worker(i);
+    if (worker.is_quarantined)
+      dump["quarantined_workers"].push_back(worker.info.node);
+  }
+  return dump.dump();
+}
+
+}  // namespace fulmarrock
