Entry: Choose the subset of a service once per second

Every request scanned all targets, twice, and a request with an affinity compared the names of all of them; the cost of a request grew with the number of targets. The subset is now reused for a second unless targets join or are forgotten, and owners are found through an index. Targets that leave or fall silent are still skipped at once.

The state machine also stops entries and checks that they drain.

--- a/source/entry/request_dispatcher.cc
+++ b/source/entry/request_dispatcher.cc
@@ -12,6 +12,9 @@
 // First HTTP status that stands for a failure of the target.
 constexpr int32_t kServerError = 500;
 
+// Time after which a subset is chosen anew.
+constexpr Millis kSubsetLifetime{1000};
+
 }  // namespace
 
 RequestDispatcher::RequestDispatcher(Options options, Parts parts, Done done)
@@ -33,13 +36,31 @@
 }
 
 std::vector<const Target*> RequestDispatcher::FindTargets(
-    const std::string& service) const {
-  return SelectSubset(m_parts.table.FindUsable(service, m_parts.clock.Now()),
-                      m_options.self, m_options.subset_size);
+    const std::string& service) {
+  const Millis now = m_parts.clock.Now();
+  const uint64_t version = m_parts.table.membership_version();
+  Subset& subset = m_subsets[service];
+  if (subset.membership_version != version || now >= subset.expiry) {
+    // Names of services come from callers, so unknown ones are not kept.
+    std::erase_if(m_subsets, [&](const auto& item) {
+      return item.first != service && now >= item.second.expiry;
+    });
+    subset = {SelectSubset(m_parts.table.FindUsable(service, now),
+                           m_options.self, m_options.subset_size),
+              version, now + kSubsetLifetime};
+  }
+  std::vector<const Target*> usable;
+  for (const Target* target : subset.targets) {
+    if (m_parts.table.IsUsable(*target, now))
+      usable.push_back(target);
+  }
+  // Targets that came back since are found again at once.
+  if (usable.empty())
+    subset.expiry = now;
+  return usable;
 }
 
-double RequestDispatcher::EstimateUtilization(
-    const std::string& service) const {
+double RequestDispatcher::EstimateUtilization(const std::string& service) {
   double requests = 0;
   double slots = 0;
   for (const Target* target : FindTargets(service)) {
@@ -254,7 +275,7 @@
   TryAgain(job);
 }
 
-bool RequestDispatcher::IsFarBehind(const Job& job, const Copy& copy) const {
+bool RequestDispatcher::IsFarBehind(const Job& job, const Copy& copy) {
   std::vector<Millis> times;
   for (const Target* target : FindTargets(job.job.request.service))
     times.push_back(target->load.service_time);
--- a/source/entry/request_dispatcher.h
+++ b/source/entry/request_dispatcher.h
@@ -100,7 +100,7 @@
   void OnTick();
 
   /// Estimates the requests per slot at the targets this entry uses.
-  double EstimateUtilization(const std::string& service) const;
+  double EstimateUtilization(const std::string& service);
 
   size_t CountJobs() const { return m_jobs.size(); }
   size_t CountCopies() const { return m_copies.size(); }
@@ -125,6 +125,13 @@
     /// Answer to fall back on when a retry of a failed request fails too.
     std::optional<CallerReply> failed_answer;
   };
+  /// Chosen from all targets of a service, which may be thousands, and reused
+  /// for the requests of a second.
+  struct Subset {
+    std::vector<const Target*> targets;
+    uint64_t membership_version = 0;
+    Millis expiry;
+  };
   struct Timer {
     Millis due;
     RequestId id;
@@ -132,7 +139,8 @@
   };
   using Timers = std::priority_queue<Timer, std::vector<Timer>, std::greater<>>;
 
-  std::vector<const Target*> FindTargets(const std::string& service) const;
+  /// Returns the usable targets of this entry's subset of a service.
+  std::vector<const Target*> FindTargets(const std::string& service);
   const Target* ChooseTarget(const Job& job, std::string& obstacle);
   void SendCopy(Job& job, const Target& target);
   /// Sends another copy of an idempotent request, if the budget allows it.
@@ -146,7 +154,7 @@
   void Finish(Job& job, CallerReply reply);
   void ScheduleQuery(RequestId copy_id, Copy& copy, Millis delay);
   /// Tells whether a copy takes so long that a hedge may come first.
-  bool IsFarBehind(const Job& job, const Copy& copy) const;
+  bool IsFarBehind(const Job& job, const Copy& copy);
   void RunQuery(RequestId copy_id, Copy& copy);
   Copy* FindCopy(RequestId id, const NodeId& from);
 
@@ -155,6 +163,7 @@
   Done m_done;
   std::unordered_map<RequestId, Job> m_jobs;
   std::unordered_map<RequestId, Copy> m_copies;
+  std::map<std::string, Subset> m_subsets;
   Timers m_query_timers;
   Timers m_job_timers;
 };
--- a/source/entry/target_table.cc
+++ b/source/entry/target_table.cc
@@ -29,6 +29,7 @@
       return false;
     it = m_targets.emplace(from, Target{}).first;
     it->second.node = from;
+    ++m_membership_version;
   }
   Target& target = it->second;
   const auto& former = target.former_incarnations;
@@ -46,10 +47,13 @@
     target.own_history.clear();
     target.load_time = Millis(0);
   }
+  if (target.service != announce.service)
+    ++m_membership_version;
   target.service = announce.service;
   target.data_centre = announce.data_centre;
   target.is_leaving = announce.is_leaving;
-  target.affinities = announce.affinities;
+  if (target.affinities != announce.affinities)
+    SetAffinities(target, announce.affinities);
   OnLoad(from, announce.incarnation, announce.load, now);
   return is_new;
 }
@@ -117,13 +121,16 @@
                                      std::string_view affinity,
                                      Millis now) const {
   const Target* owner = nullptr;
-  for (const Target* target : FindUsable(service, now)) {
-    const auto& names = target->affinities;
-    if (std::find(names.begin(), names.end(), affinity) == names.end())
+  const auto it = m_owners.find(affinity);
+  if (it == m_owners.end())
+    return nullptr;
+  for (const NodeId& node : it->second) {
+    const Target& target = m_targets.at(node);
+    if (target.service != service || !IsUsable(target, now))
       continue;
     if (owner)
       return nullptr;
-    owner = target;
+    owner = &target;
   }
   return owner;
 }
@@ -134,9 +141,30 @@
 }
 
 void TargetTable::ForgetSilent(Millis now) {
-  std::erase_if(m_targets, [&](const auto& item) {
-    return item.second.last_heard + m_options.retention < now;
-  });
+  for (auto it = m_targets.begin(); it != m_targets.end();) {
+    if (it->second.last_heard + m_options.retention >= now) {
+      ++it;
+      continue;
+    }
+    SetAffinities(it->second, {});
+    it = m_targets.erase(it);
+    ++m_membership_version;
+  }
+}
+
+void TargetTable::SetAffinities(Target& target,
+                                const std::vector<std::string>& names) {
+  for (const std::string& name : target.affinities) {
+    const auto it = m_owners.find(name);
+    if (it == m_owners.end())
+      continue;
+    it->second.erase(target.node);
+    if (it->second.empty())
+      m_owners.erase(it);
+  }
+  for (const std::string& name : names)
+    m_owners[name].insert(target.node);
+  target.affinities = names;
 }
 
 bool TargetTable::IsUsable(const Target& target, Millis now) const {
--- a/source/entry/target_table.h
+++ b/source/entry/target_table.h
@@ -4,7 +4,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -84,14 +86,23 @@
   /// Forgets targets that have been silent for long.
   void ForgetSilent(Millis now);
 
+  /// Tells whether a target takes new work.
+  bool IsUsable(const Target& target, Millis now) const;
+
+  /// Grows when a target is added, changes its service or is forgotten.
+  uint64_t membership_version() const { return m_membership_version; }
+
   const std::map<NodeId, Target>& targets() const { return m_targets; }
 
  private:
   static void ChangeInFlight(Target& target, int32_t change, Millis now);
-  bool IsUsable(const Target& target, Millis now) const;
+  void SetAffinities(Target& target, const std::vector<std::string>& names);
 
   Options m_options;
   std::map<NodeId, Target> m_targets;
+  // Targets that announce an affinity name, of any service.
+  std::map<std::string, std::set<NodeId>, std::less<>> m_owners;
+  uint64_t m_membership_version = 0;
 };
 
 }  // namespace fulmarrock
--- a/tests/entry/entry_role_test.cc
+++ b/tests/entry/entry_role_test.cc
@@ -38,6 +38,15 @@
   const RequestId id = fixture.entry.Submit(EntryFixture::MakeRequest(true));
   fixture.Run(Millis(10));
   CHECK(fixture.Answer(id).outcome == Outcome::kNotRun);
+  // Targets that appear or come back are used at once, although the subset of
+  // a service is kept for a second.
+  fixture.Announce("agent-1", 7);
+  fixture.entry.Submit(EntryFixture::MakeRequest(true));
+  CHECK(fixture.transport.Take<RequestForward>().at(0).first == "agent-1");
+  fixture.Announce("agent-4");
+  fixture.Announce("agent-1", 7, true);
+  fixture.entry.Submit(EntryFixture::MakeRequest(true));
+  CHECK(fixture.transport.Take<RequestForward>().at(0).first == "agent-4");
 }
 
 // Guards invariant 4 against truncated, duplicated and foreign replies.
--- a/tests/interactive/state_machine_test.cc
+++ b/tests/interactive/state_machine_test.cc
@@ -139,6 +139,14 @@
   void show(std::ostream& os) const override { os << "Drain agent " << agent; }
 };
 
+struct DrainEntry : Command {
+  int entry = *rc::gen::inRange(0, kEntries);
+  void run(const Model&, InteractiveWorld& world) const override {
+    world.entry(entry).BeginShutdown();
+  }
+  void show(std::ostream& os) const override { os << "Drain entry " << entry; }
+};
+
 struct CrashTarget : Command {
   int agent = *rc::gen::inRange(0, kAgents);
   void run(const Model&, InteractiveWorld& world) const override {
@@ -202,16 +210,26 @@
   REQUIRE(kHasMoreCases);
   const bool is_ok = rc::check([] {
     InteractiveWorld world(kEntries, kAgents, *rc::gen::arbitrary<uint64_t>());
-    rc::state::check(Model{}, world,
-                     rc::state::gen::execOneOfWithArgs<
-                         SubmitFresh, SubmitFresh, SubmitKeyed, SubmitKeyed,
-                         SubmitKeyed, Wait, Wait, Wait, Cut, Isolate, Heal,
-                         SetLinks, RestartEntry, RestartAgent, DrainAgent,
-                         CrashTarget, RecoverTarget, DisturbTarget>());
+    rc::state::check(
+        Model{}, world,
+        rc::state::gen::execOneOfWithArgs<
+            SubmitFresh, SubmitFresh, SubmitKeyed, SubmitKeyed, SubmitKeyed,
+            Wait, Wait, Wait, Cut, Isolate, Heal, SetLinks, RestartEntry,
+            RestartAgent, DrainAgent, DrainEntry, CrashTarget, RecoverTarget,
+            DisturbTarget>());
     Settle(world);
     const std::vector<std::string> violations = Oracle(world).FindViolations();
     if (!violations.empty())
       RC_FAIL(violations.front());
+    // A planned stop ends once everything has its answer. A keyed request at a
+    // hung target is followed for 30 s after its deadline.
+    for (int i = 0; i < kEntries; ++i)
+      world.entry(i).BeginShutdown();
+    for (int i = 0; i < kEntries; ++i) {
+      for (int second = 0; second < 31 && !world.entry(i).IsDrained(); ++second)
+        world.Run(Millis(1000));
+      RC_ASSERT(world.entry(i).IsDrained());
+    }
     int answered = 0;
     for (const Call& call : world.sink.calls)
       answered += !call.replies.empty() &&
