Agent: Announce running kernels as affinities, and start the throttle

Cause: a target announced only the affinities of its settings, so a cell run could not find a kernel that control had placed or moved. The daemon never created the latency probe, so it ran without the throttle loop. Change: the task runner tells the request server which kernels execute, and the agent host creates the probe.

--- a/source/agent/request_server.cc
+++ b/source/agent/request_server.cc
@@ -82,6 +82,18 @@
 }
 
 void RequestServer::SetAffinities(std::vector<std::string> affinities) {
+  m_fixed_affinities = std::move(affinities);
+  UpdateAffinities();
+}
+
+void RequestServer::OnKernelsChanged(const std::vector<std::string>& kernels) {
+  m_kernels = kernels;
+  UpdateAffinities();
+}
+
+void RequestServer::UpdateAffinities() {
+  std::vector<std::string> affinities = m_fixed_affinities;
+  affinities.insert(affinities.end(), m_kernels.begin(), m_kernels.end());
   std::sort(affinities.begin(), affinities.end());
   if (affinities == m_affinities)
     return;
--- a/source/agent/request_server.h
+++ b/source/agent/request_server.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "source/agent/agent_part.h"
+#include "source/agent/kernel_listener.h"
 #include "source/agent/latency_window.h"
 #include "source/agent/request_queue.h"
 #include "source/agent/request_records.h"
@@ -48,7 +49,7 @@
 
 /// The agent's interactive part: queues requests for the slots of its target,
 /// refuses what cannot finish in time, and runs each request at most once.
-class RequestServer : public AgentPart {
+class RequestServer : public AgentPart, public KernelListener {
  public:
   /// Time over which the percentiles and RecentCount() look back. A p99 over
   /// fewer requests is mostly chance.
@@ -67,9 +68,13 @@
   std::string Name() const override { return "requests"; }
   std::string DumpState() const override;
 
-  /// Replaces the affinity names (for example kernels) that this target owns.
+  /// Replaces the affinity names that this target owns at all times.
   void SetAffinities(std::vector<std::string> affinities);
 
+  /// Replaces the affinity names of the kernels on this instance, which are
+  /// owned beside those of SetAffinities().
+  void OnKernelsChanged(const std::vector<std::string>& kernels) override;
+
   /// Time from arrival to answer that 90% or 99% of recent requests stay
   /// within, or zero without recent requests.
   Millis RecentP90() const { return m_latency.Percentile(m_clock.Now(), 0.9); }
@@ -110,6 +115,7 @@
                          std::string reason) const;
   bool IsLeaving() const { return m_is_stopping || !m_is_healthy; }
   TargetLoad CurrentLoad() const;
+  void UpdateAffinities();
   void Announce();
 
   RequestServerOptions m_options;
@@ -121,6 +127,9 @@
   RequestRecords m_records;
   LatencyWindow m_latency;
   std::unordered_map<RequestId, Running> m_running;
+  std::vector<std::string> m_fixed_affinities;
+  std::vector<std::string> m_kernels;
+  // Both together, sorted.
   std::vector<std::string> m_affinities;
   int32_t m_open_connections = 0;
   // Smoothed service time in milliseconds; negative before the first sample.
--- a/source/agent/task_runner.cc
+++ b/source/agent/task_runner.cc
@@ -60,6 +60,7 @@
 void TaskRunner::OnTick() {
   const Millis now = m_clock.Now();
   SuspendExpired();
+  ReportKernels();
   // A stopping agent keeps announcing: an acknowledgement does not tell whether
   // it is for the announcement that says so.
   if ((!m_is_announced || m_is_stopping) && now >= m_next_announce)
@@ -192,6 +193,8 @@
   lease.kind = grant.kind;
   lease.resources = grant.resources;
   lease.can_checkpoint = grant.can_checkpoint;
+  if (grant.kind == TaskKind::kKernel)
+    lease.kernel = grant.workload;
   lease.started_at = m_clock.Now();
   lease.valid_until = valid_until;
   m_used += grant.resources;
@@ -337,6 +340,21 @@
     m_worker.ExtendLeases(earliest - now);
 }
 
+void TaskRunner::ReportKernels() {
+  if (!m_kernel_listener)
+    return;
+  std::vector<std::string> kernels;
+  for (const auto& [task, lease] : m_leases) {
+    if (!lease.kernel.empty() && lease.state == LeaseState::kRunning &&
+        !lease.is_suspended)
+      kernels.push_back(lease.kernel);
+  }
+  if (kernels == m_kernels)
+    return;
+  m_kernels = std::move(kernels);
+  m_kernel_listener->OnKernelsChanged(m_kernels);
+}
+
 void TaskRunner::ForgetPastLeases() {
   const Millis now = m_clock.Now();
   m_next_forget = now + kForgetInterval;
--- a/source/agent/task_runner.h
+++ b/source/agent/task_runner.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "source/agent/agent_part.h"
+#include "source/agent/kernel_listener.h"
 #include "source/agent/worker_client.h"
 #include "source/base/clock.h"
 #include "source/base/counters.h"
@@ -43,6 +44,11 @@
              WorkerClient& worker,
              Counters& counters);
 
+  /// Sets who learns of the kernels that execute here; may stay unset.
+  void SetKernelListener(KernelListener& listener) {
+    m_kernel_listener = &listener;
+  }
+
   // AgentPart:
   void OnMessage(const NodeId& from, const Message& message) override;
   void OnTick() override;
@@ -70,6 +76,8 @@
     TaskKind kind = TaskKind::kBatch;
     Resources resources;
     bool can_checkpoint = false;
+    /// Name by which requests find a kernel; empty for other kinds.
+    std::string kernel;
     LeaseState state = LeaseState::kRunning;
     Millis started_at;
     /// The task may execute before this instant.
@@ -107,6 +115,8 @@
   /// Tells the worker how long its tasks may run if this agent dies. The lease
   /// that ends first decides for all of them.
   void UpdateWorkerLease();
+  /// Tells the listener which kernels execute, if that has changed.
+  void ReportKernels();
   void ForgetPastLeases();
   void SendAnnounce();
   void SendRenew();
@@ -123,6 +133,8 @@
   WorkerClient& m_worker;
   Counters& m_counters;
 
+  KernelListener* m_kernel_listener = nullptr;
+  std::vector<std::string> m_kernels;
   std::map<TaskId, Lease> m_leases;
   uint64_t m_digest = 0;
   Resources m_used;
--- a/source/daemon/agent_host.cc
+++ b/source/daemon/agent_host.cc
@@ -27,6 +27,7 @@
                      RandomSource& random)
     : m_loop(loop), m_role(m_counters) {
   const Incarnation incarnation = random.Next() | 1;
+  RequestServer* server = nullptr;
   if (settings.target) {
     HttpTargetOptions target;
     target.address = settings.target->address;
@@ -43,6 +44,9 @@
     auto part = std::make_unique<RequestServer>(
         std::move(options), clock, transport, *m_target, m_counters);
     part->SetAffinities(settings.target->affinities);
+    m_probe = std::make_unique<ServiceLatencyProbe>(
+        clock, *part, settings.target->latency_objective);
+    server = part.get();
     m_role.AddPart(std::move(part));
   }
   if (settings.worker) {
@@ -61,6 +65,8 @@
     auto part = std::make_unique<TaskRunner>(
         std::move(options), clock, transport, random, *m_worker, m_counters);
     m_worker->Listen(*part);
+    if (server)
+      part->SetKernelListener(*server);
     m_role.AddPart(std::move(part));
     if (m_probe) {
       m_role.AddPart(std::make_unique<ThrottleController>(
--- a/tests/process/embedded_test.sh
+++ b/tests/process/embedded_test.sh
@@ -24,6 +24,12 @@
 call "$http_all" nosuch/preview x "Fulmarrock-Deadline-Ms: 200" >"$work/answer"
 [ "$(outcome "$work/answer")" = not_run ] || fail "unknown service: $(cat "$work/answer")"
 
+# Guards against a daemon that leaves out a part of the agent.
+tool dump "$http_all" >"$work/dump"
+for part in requests tasks throttle; do
+  grep -q "\"$part\"" "$work/dump" || fail "the agent has no part $part"
+done
+
 # Guards against a job that runs never, partly or twice.
 job=$(submit_job "$http_all" 5 50)
 tool wait --address "$http_all" "$job" --limit-s "$wait_limit" >/dev/null ||
--- a/tests/support/scenario_cluster.cc
+++ b/tests/support/scenario_cluster.cc
@@ -152,6 +152,7 @@
   Transport& transport = m_network.TransportOf(description.node);
   node.role = std::make_unique<AgentRole>(node.counters);
   const Incarnation incarnation = NextIncarnation();
+  RequestServer* request_server = nullptr;
   if (!description.service.empty()) {
     RequestServerOptions options;
     options.service = description.service;
@@ -162,6 +163,7 @@
     auto server = std::make_unique<RequestServer>(options, m_clock, transport,
                                                   node.target, node.counters);
     server->SetAffinities(description.affinities);
+    request_server = server.get();
     node.role->AddPart(std::move(server));
   }
   if (description.capacity.cpu_millicores > 0) {
@@ -174,6 +176,8 @@
     auto runner = std::make_unique<TaskRunner>(
         settings, m_clock, transport, m_random, node.worker, node.counters);
     node.worker.SetListener(runner.get());
+    if (request_server)
+      runner->SetKernelListener(*request_server);
     node.role->AddPart(std::move(runner));
   }
   AgentRole* role = node.role.get();
