--- a/source/tool/command_line.cc
+++ b/source/tool/command_line.cc
@@ -21,6 +21,7 @@
 #include "source/tool/show_command.h"
 #include "source/tool/status_command.h"
 #include "source/tool/submit_command.h"
+#include "source/tool/targets_command.h"
 #include "source/tool/validate_command.h"
 #include "source/tool/wait_command.h"
 
@@ -70,6 +71,7 @@
   m_commands.push_back(std::make_unique<ListCommand>());
   m_commands.push_back(std::make_unique<ShowCommand>());
   m_commands.push_back(std::make_unique<StatusCommand>());
+  m_commands.push_back(std::make_unique<TargetsCommand>());
   m_commands.push_back(std::make_unique<DrainCommand>());
   m_commands.push_back(std::make_unique<MemberCommand>());
   m_commands.push_back(std::make_unique<DumpCommand>());
--- a/tests/process/embedded_test.sh
+++ b/tests/process/embedded_test.sh
@@ -24,6 +24,9 @@
 call "$http_all" nosuch/preview x "Fulmarrock-Deadline-Ms: 200" >"$work/answer"
 [ "$(outcome "$work/answer")" = not_run ] || fail "unknown service: $(cat "$work/answer")"
 
+# Guards against an entry that hides its targets from operators.
+tool targets "$http_all" | grep -q '^wallwright ' || fail "no target is shown"
+
 # Guards against a daemon that leaves out a part of the agent.
 tool dump "$http_all" >"$work/dump"
 for part in requests tasks throttle; do
