Control: Show workers that the scheduler has quarantined

Cause: the scheduler quarantines a worker after three failing jobs, but the status showed only the replicated record, which needs five. Change: the status shows either. In the scheduler, what a waiting task holds on a worker is called a reservation throughout, since a claim is the record of a keyed request.

--- a/source/control/control_operators.cc
+++ b/source/control/control_operators.cc
@@ -168,7 +168,9 @@
     view.running_tasks =
         static_cast<uint32_t>(worker->tasks.size() + worker->orphans.size());
     view.is_draining = worker->IsDraining();
-    view.is_quarantined = worker->IsQuarantined();
+    // The scheduler reacts sooner; the replicated record outlives a leader.
+    view.is_quarantined =
+        worker->IsQuarantined() || m_scheduler.IsQuarantined(view.node);
     view.is_alive = m_is_leader && m_leases.IsAlive(i);
   }
   const JobTable& jobs = m_state.jobs();
--- a/source/placement/cluster.cc
+++ b/source/placement/cluster.cc
@@ -38,10 +38,10 @@
 
 Resources Worker::Usable() const {
   const Resources free = Free();
-  const Resources unclaimed = free + evicting - claimed;
-  return {std::min(free.cpu_millicores, unclaimed.cpu_millicores),
-          std::min(free.memory_mib, unclaimed.memory_mib),
-          std::min(free.accelerators, unclaimed.accelerators)};
+  const Resources unreservationed = free + evicting - reserved;
+  return {std::min(free.cpu_millicores, unreservationed.cpu_millicores),
+          std::min(free.memory_mib, unreservationed.memory_mib),
+          std::min(free.accelerators, unreservationed.accelerators)};
 }
 
 WorkerIndex Cluster::FindOrAdd(const NodeId& node) {
@@ -192,13 +192,13 @@
   NotifyGrowth(task.worker);
 }
 
-void Cluster::AddClaim(WorkerIndex worker, const Resources& need) {
-  m_workers[worker].claimed += need;
+void Cluster::AddReservation(WorkerIndex worker, const Resources& need) {
+  m_workers[worker].reserved += need;
   UpdateIndexes(worker);
 }
 
-void Cluster::RemoveClaim(WorkerIndex worker, const Resources& need) {
-  m_workers[worker].claimed -= need;
+void Cluster::RemoveReservation(WorkerIndex worker, const Resources& need) {
+  m_workers[worker].reserved -= need;
   UpdateIndexes(worker);
   NotifyGrowth(worker);
 }
--- a/source/placement/cluster.h
+++ b/source/placement/cluster.h
@@ -50,7 +50,7 @@
   /// Part of `used` that is being evicted.
   Resources evicting;
   /// Sum of the sizes of pending tasks that wait for this very worker.
-  Resources claimed;
+  Resources reserved;
   std::vector<RunningTask*> tasks;
   /// Workloads of the kernels and services here, with their numbers.
   std::vector<std::pair<WorkloadKey, uint32_t>> sensitive;
@@ -61,7 +61,8 @@
 
   Resources Free() const { return info.capacity - used; }
 
-  /// Free capacity less what the claims need beyond the tasks being evicted.
+  /// Free capacity less what the reservations need beyond the tasks being
+  /// evicted.
   Resources Usable() const;
 
   bool IsOpen() const {
@@ -105,8 +106,8 @@
   void MarkEvicting(RunningTask& task);
 
   /// Holds capacity of a worker for a pending task, or stops holding it.
-  void AddClaim(WorkerIndex worker, const Resources& need);
-  void RemoveClaim(WorkerIndex worker, const Resources& need);
+  void AddReservation(WorkerIndex worker, const Resources& need);
+  void RemoveReservation(WorkerIndex worker, const Resources& need);
 
   void SetQuarantined(WorkerIndex worker, bool is_quarantined);
 
--- a/source/placement/fair_scheduler.cc
+++ b/source/placement/fair_scheduler.cc
@@ -12,17 +12,17 @@
 // waits longer than this for shorter ones of its customer.
 constexpr Millis kMaxOrderDelay = Millis::FromSeconds(600);
 
-// Blocked tasks that waited this long may claim a worker.
+// Blocked tasks that waited this long may reserve a worker.
 constexpr Millis kReserveInteractiveAfter = Millis::FromSeconds(5);
 constexpr Millis kReserveBatchAfter = Millis::FromSeconds(30);
 constexpr Millis kReservationInterval = Millis::FromSeconds(1);
 
-// Claims per class: one in small clusters, and one for this many workers, so
-// that the capacity held back stays near two percent.
-constexpr size_t kWorkersPerClaim = 50;
+// Reservations per class: one in small clusters, and one for this many workers,
+// so that the capacity held back stays near two percent.
+constexpr size_t kWorkersPerReservation = 50;
 
-// Claims of urgent tasks at once, and candidates compared for each.
-constexpr size_t kMaxUrgentClaims = 512;
+// Reservations of urgent tasks at once, and candidates compared for each.
+constexpr size_t kMaxUrgentReservations = 512;
 constexpr size_t kEvictionCandidates = 16;
 
 // Urgent tasks first wait this long for a task that ends by itself.
@@ -45,8 +45,9 @@
   return charged;
 }
 
-size_t MaxClaims(const Cluster& cluster) {
-  return std::max<size_t>(1, cluster.known_worker_count() / kWorkersPerClaim);
+size_t MaxReservations(const Cluster& cluster) {
+  return std::max<size_t>(
+      1, cluster.known_worker_count() / kWorkersPerReservation);
 }
 
 }  // namespace
@@ -58,7 +59,7 @@
         if (worker.IsOpen())
           queue.OnGrowth(index, worker.Usable());
       }),
-      claims(cluster, queue) {}
+      reservations(cluster, queue) {}
 
 FairScheduler::FairScheduler(PolicyFactory make_policies)
     : m_make_policies(std::move(make_policies)),
@@ -74,7 +75,7 @@
     if (!RefreshCustomer(i))
       continue;
     for (const TaskId task : m_state->queue.TasksOfCustomer(i)) {
-      m_state->claims.Remove(task);
+      m_state->reservations.Remove(task);
       Reenter(task);
       m_state->unchecked.push_back(task);
     }
@@ -90,14 +91,19 @@
   const std::optional<WorkerIndex> index = m_state->cluster.Find(worker);
   if (!index)
     return;
-  m_state->claims.RemoveOnWorker(*index);
+  m_state->reservations.RemoveOnWorker(*index);
   const Resources held = m_state->overloads.ForgetWorker(*index);
-  m_state->cluster.RemoveClaim(*index, held);
+  m_state->cluster.RemoveReservation(*index, held);
   m_state->policies.failures->ForgetWorker(*index);
   m_state->cluster.SetQuarantined(*index, false);
   m_state->cluster.Remove(worker);
 }
 
+bool FairScheduler::IsQuarantined(const NodeId& worker) const {
+  const std::optional<WorkerIndex> index = m_state->cluster.Find(worker);
+  return index && m_state->policies.failures->IsQuarantined(*index);
+}
+
 void FairScheduler::Enqueue(const PendingTask& task) {
   if (m_state->queue.Find(task.task) || m_state->cluster.FindTask(task.task))
     return;
@@ -115,7 +121,7 @@
 }
 
 void FairScheduler::RemovePending(TaskId task) {
-  m_state->claims.Remove(task);
+  m_state->reservations.Remove(task);
   m_state->queue.Remove(task);
 }
 
@@ -167,12 +173,12 @@
   std::vector<Placement> placements;
   ReenterChanged();
   CheckPlaceable();
-  m_state->claims.RemoveStale(now);
+  m_state->reservations.RemoveStale(now);
   for (const OverloadTracker::Hold& hold : m_state->overloads.Release(now))
-    m_state->cluster.RemoveClaim(hold.worker, hold.size);
+    m_state->cluster.RemoveReservation(hold.worker, hold.size);
   UnblockForProbes(now);
   PlaceUrgent(limit, now, placements);
-  PlaceClaimed(TaskClass::kBatch, limit, now, placements);
+  PlaceReservationed(TaskClass::kBatch, limit, now, placements);
   PlaceClass(TaskClass::kInteractive, limit, now, placements);
   PlaceClass(TaskClass::kBatch, limit, now, placements);
   ReserveForWaiting(now);
@@ -260,7 +266,7 @@
   const PendingEntry renewed = MakeEntry(entry->task, entry->customer);
   if (renewed.task_class == entry->task_class && renewed.need == entry->need)
     return;
-  m_state->claims.Remove(task);
+  m_state->reservations.Remove(task);
   m_state->queue.Remove(task);
   m_state->queue.Add(renewed);
 }
@@ -351,10 +357,10 @@
                           std::vector<Placement>& out) {
   const PendingEntry entry = *m_state->queue.Find(task);
   m_state->queue.Remove(task);
-  // The task is accounted before its claim ends, so that the claimed capacity
-  // never appears to be free.
+  // The task is accounted before its reservation ends, so that the reserved
+  // capacity never appears to be free.
   Account(entry, worker, now);
-  m_state->claims.Remove(task);
+  m_state->reservations.Remove(task);
   m_state->queue.OnShrink(worker, m_state->cluster.worker(worker).Usable());
   out.push_back({task, m_state->cluster.worker(worker).info.node});
 }
@@ -362,48 +368,50 @@
 void FairScheduler::PlaceUrgent(size_t limit,
                                 Millis now,
                                 std::vector<Placement>& out) {
-  PlaceClaimed(TaskClass::kUrgent, limit, now, out);
+  PlaceReservationed(TaskClass::kUrgent, limit, now, out);
   PlaceClass(TaskClass::kUrgent, limit, now, out);
-  if (m_state->claims.CountOfClass(TaskClass::kInteractive) == 0 &&
-      m_state->claims.CountOfClass(TaskClass::kBatch) == 0)
+  if (m_state->reservations.CountOfClass(TaskClass::kInteractive) == 0 &&
+      m_state->reservations.CountOfClass(TaskClass::kBatch) == 0)
     return;
   const std::vector<TaskId> blocked =
-      m_state->queue.BlockedTasks(TaskClass::kUrgent, kMaxUrgentClaims);
-  if (std::all_of(blocked.begin(), blocked.end(),
-                  [&](TaskId task) { return m_state->claims.HasWorker(task); }))
+      m_state->queue.BlockedTasks(TaskClass::kUrgent, kMaxUrgentReservations);
+  if (std::all_of(blocked.begin(), blocked.end(), [&](TaskId task) {
+        return m_state->reservations.HasWorker(task);
+      }))
     return;
-  m_state->claims.RemoveLessUrgent();
+  m_state->reservations.RemoveLessUrgent();
   PlaceClass(TaskClass::kUrgent, limit, now, out);
 }
 
-void FairScheduler::PlaceClaimed(TaskClass last_class,
-                                 size_t limit,
-                                 Millis now,
-                                 std::vector<Placement>& out) {
-  for (const Reservation& claim : m_state->claims.Ready()) {
-    if (out.size() >= limit || claim.task_class > last_class)
+void FairScheduler::PlaceReservationed(TaskClass last_class,
+                                       size_t limit,
+                                       Millis now,
+                                       std::vector<Placement>& out) {
+  for (const Reservation& reservation : m_state->reservations.Ready()) {
+    if (out.size() >= limit || reservation.task_class > last_class)
       return;
-    const PendingEntry* entry = m_state->queue.Find(claim.task);
-    const Worker& worker = m_state->cluster.worker(*claim.worker);
-    // An earlier claim may have taken the room in this round.
-    if (m_state->claims.FitsQuota(*entry) && entry->need.FitsIn(worker.Free()))
-      Start(claim.task, *claim.worker, now, out);
+    const PendingEntry* entry = m_state->queue.Find(reservation.task);
+    const Worker& worker = m_state->cluster.worker(*reservation.worker);
+    // An earlier reservation may have taken the room in this round.
+    if (m_state->reservations.FitsQuota(*entry) &&
+        entry->need.FitsIn(worker.Free()))
+      Start(reservation.task, *reservation.worker, now, out);
   }
-  PlaceQuotaClaimed(last_class, limit, now, out);
+  PlaceQuotaReservationed(last_class, limit, now, out);
 }
 
 // Such a task need not be the first of its group, whose turn the group waits
 // for; it is therefore tried by itself.
-void FairScheduler::PlaceQuotaClaimed(TaskClass last_class,
-                                      size_t limit,
-                                      Millis now,
-                                      std::vector<Placement>& out) {
-  for (const TaskId task : m_state->claims.QuotaReady(last_class)) {
+void FairScheduler::PlaceQuotaReservationed(TaskClass last_class,
+                                            size_t limit,
+                                            Millis now,
+                                            std::vector<Placement>& out) {
+  for (const TaskId task : m_state->reservations.QuotaReady(last_class)) {
     if (out.size() >= limit)
       return;
     const PendingEntry entry = *m_state->queue.Find(task);
     // An earlier one may have used the quota up in this round.
-    if (!m_state->claims.FitsQuota(entry))
+    if (!m_state->reservations.FitsQuota(entry))
       continue;
     std::optional<WorkerIndex> worker;
     if (!m_state->queue.IsSizeBlocked(entry.need))
@@ -415,7 +423,7 @@
     m_state->queue.BlockSize(entry.need);
     const std::optional<WorkerIndex> earliest = FindEarliestWorker(entry, now);
     if (earliest)
-      m_state->claims.Add(entry, earliest, now);
+      m_state->reservations.Add(entry, earliest, now);
   }
 }
 
@@ -428,7 +436,7 @@
         m_state->queue.Next(task_class, m_state->cluster.total_capacity());
     if (!entry)
       return;
-    if (!m_state->claims.FitsQuota(*entry)) {
+    if (!m_state->reservations.FitsQuota(*entry)) {
       WaitForQuota(*entry, now);
       continue;
     }
@@ -442,9 +450,10 @@
 
 void FairScheduler::WaitForQuota(const PendingEntry& entry, Millis now) {
   if (now - entry.task.since >= kReserveBatchAfter &&
-      !m_state->claims.HasQuotaClaim(entry.customer, entry.task_class) &&
-      !m_state->claims.Find(entry.task.task))
-    m_state->claims.Add(entry, std::nullopt, now);
+      !m_state->reservations.HasQuotaReservation(entry.customer,
+                                                 entry.task_class) &&
+      !m_state->reservations.Find(entry.task.task))
+    m_state->reservations.Add(entry, std::nullopt, now);
   m_state->queue.BlockOnQuota(entry);
 }
 
@@ -504,8 +513,8 @@
 }
 
 void FairScheduler::ReserveForClass(TaskClass task_class, Millis now) {
-  const size_t max_claims = MaxClaims(m_state->cluster);
-  if (m_state->claims.CountOfClass(task_class) >= max_claims)
+  const size_t max_reservations = MaxReservations(m_state->cluster);
+  if (m_state->reservations.CountOfClass(task_class) >= max_reservations)
     return;
   const Millis delay = task_class == TaskClass::kBatch
                            ? kReserveBatchAfter
@@ -518,8 +527,9 @@
   std::vector<Waiting> waiting;
   const auto index = static_cast<size_t>(task_class);
   m_state->queue.VisitBlocked(task_class, [&](const PendingEntry& entry) {
-    if (now - entry.task.since < delay || !m_state->claims.FitsQuota(entry) ||
-        m_state->claims.HasWorker(entry.task.task))
+    if (now - entry.task.since < delay ||
+        !m_state->reservations.FitsQuota(entry) ||
+        m_state->reservations.HasWorker(entry.task.task))
       return;
     const CustomerState& customer = m_state->queue.customer(entry.customer);
     const CustomerDemand demand{customer.running[index], customer.weight,
@@ -534,12 +544,12 @@
                      std::tie(right.rank, right.since, right.task);
             });
   for (const Waiting& item : waiting) {
-    if (m_state->claims.CountOfClass(task_class) >= max_claims)
+    if (m_state->reservations.CountOfClass(task_class) >= max_reservations)
       return;
     const PendingEntry& entry = *m_state->queue.Find(item.task);
     const std::optional<WorkerIndex> worker = FindEarliestWorker(entry, now);
     if (worker)
-      m_state->claims.Add(entry, *worker, now);
+      m_state->reservations.Add(entry, *worker, now);
   }
 }
 
@@ -587,15 +597,16 @@
 
 void FairScheduler::EvictForUrgent(Millis now, std::vector<Eviction>& out) {
   EvictionPolicy& policy = *m_state->policies.eviction;
-  for (const TaskId task :
-       m_state->queue.BlockedTasks(TaskClass::kUrgent, kMaxUrgentClaims)) {
+  for (const TaskId task : m_state->queue.BlockedTasks(
+           TaskClass::kUrgent, kMaxUrgentReservations)) {
     const PendingEntry& entry = *m_state->queue.Find(task);
     const size_t allowance = policy.Allowance(
         EvictionCause::kUrgentWork, m_state->cluster.batch_task_count(), now);
     if (allowance == 0)
       return;
     if (now - entry.task.since < kEvictAfter ||
-        !m_state->claims.FitsQuota(entry) || m_state->claims.HasWorker(task))
+        !m_state->reservations.FitsQuota(entry) ||
+        m_state->reservations.HasWorker(task))
       continue;
     std::vector<WorkerIndex> candidates;
     m_state->cluster.evictable_index().Collect(entry.need, kEvictionCandidates,
@@ -612,7 +623,7 @@
     }
     if (!best || best->tasks.size() > allowance)
       continue;
-    m_state->claims.Add(entry, best_worker, now);
+    m_state->reservations.Add(entry, best_worker, now);
     for (const TaskId victim : best->tasks)
       Evict(victim, "makes room for urgent task " + ToString(task), now, out);
   }
@@ -631,7 +642,7 @@
     const Resources size = m_state->cluster.FindTask(*victim)->charged;
     Evict(*victim, "a service on the worker exceeds its latency objective", now,
           out);
-    m_state->cluster.AddClaim(worker, size);
+    m_state->cluster.AddReservation(worker, size);
     m_state->overloads.OnEviction(worker, size, now);
   }
 }
@@ -691,7 +702,7 @@
 }
 
 std::string FairScheduler::DumpState() const {
-  return DumpScheduler(m_state->queue, m_state->cluster, m_state->claims);
+  return DumpScheduler(m_state->queue, m_state->cluster, m_state->reservations);
 }
 
 }  // namespace fulmarrock
--- a/source/placement/fair_scheduler.h
+++ b/source/placement/fair_scheduler.h
@@ -43,6 +43,7 @@
   void OnUsage(const NodeId& worker,
                const UsageReport& report,
                Millis now) override;
+  bool IsQuarantined(const NodeId& worker) const override;
   size_t pending_count() const override { return m_state->queue.size(); }
   size_t running_count() const override {
     return m_state->cluster.task_count();
@@ -57,7 +58,7 @@
     SchedulerPolicies policies;
     PendingQueue queue;
     Cluster cluster;
-    ReservationTable claims;
+    ReservationTable reservations;
     OverloadTracker overloads;
     Configuration configuration;
     /// Waiting tasks not yet checked for being placeable.
@@ -91,18 +92,18 @@
              Millis now,
              std::vector<Placement>& out);
   void Account(const PendingEntry& entry, WorkerIndex worker, Millis started);
-  /// Places urgent tasks, also where others hold a claim.
+  /// Places urgent tasks, also where others hold a reservation.
   void PlaceUrgent(size_t limit, Millis now, std::vector<Placement>& out);
-  /// Places claimed tasks up to this class.
-  void PlaceClaimed(TaskClass last_class,
-                    size_t limit,
-                    Millis now,
-                    std::vector<Placement>& out);
+  /// Places tasks with a reservation up to this class.
+  void PlaceReservationed(TaskClass last_class,
+                          size_t limit,
+                          Millis now,
+                          std::vector<Placement>& out);
   /// Places tasks for which quota was held, or lets them wait for a worker.
-  void PlaceQuotaClaimed(TaskClass last_class,
-                         size_t limit,
-                         Millis now,
-                         std::vector<Placement>& out);
+  void PlaceQuotaReservationed(TaskClass last_class,
+                               size_t limit,
+                               Millis now,
+                               std::vector<Placement>& out);
   void PlaceClass(TaskClass task_class,
                   size_t limit,
                   Millis now,
@@ -115,7 +116,7 @@
   void UnblockForProbes(Millis now);
   void ApplyQuarantine();
 
-  /// Lets long-waiting tasks claim the worker that is expected to have room
+  /// Lets long-waiting tasks reserve the worker that is expected to have room
   /// first, so that smaller ones cannot overtake them for ever.
   void ReserveForWaiting(Millis now);
   void ReserveForClass(TaskClass task_class, Millis now);
--- a/source/placement/scheduler.h
+++ b/source/placement/scheduler.h
@@ -103,6 +103,9 @@
                        const UsageReport& report,
                        Millis now) = 0;
 
+  /// Whether the worker fails too much and gets single tasks at most.
+  virtual bool IsQuarantined(const NodeId& worker) const = 0;
+
   virtual size_t pending_count() const = 0;
   virtual size_t running_count() const = 0;
 
--- a/source/placement/scheduler_dump.cc
+++ b/source/placement/scheduler_dump.cc
@@ -15,7 +15,7 @@
 
 std::string DumpScheduler(const PendingQueue& queue,
                           const Cluster& cluster,
-                          const ReservationTable& claims) {
+                          const ReservationTable& reservations) {
   nlohmann::json dump;
   dump["pending"] = {
       {"urgent", queue.CountOfClass(TaskClass::kUrgent)},
@@ -34,13 +34,13 @@
                                  {"running", ToJson(customer.declared)},
                                  {"is_over_quota", customer.is_over_quota}});
   }
-  dump["claims"] = nlohmann::json::array();
-  for (const Reservation& claim : claims.All()) {
+  dump["reservations"] = nlohmann::json::array();
+  for (const Reservation& reservation : reservations.All()) {
     const std::string node =
-        claim.worker ? cluster.worker(*claim.worker).info.node : "";
-    dump["claims"].push_back({{"task", ToString(claim.task)},
-                              {"worker", node},
-                              {"need", ToJson(claim.need)}});
+        reservation.worker ? cluster.worker(*reservation.worker).info.node : "";
+    dump["reservations"].push_back({{"task", ToString(reservation.task)},
+                                    {"worker", node},
+                                    {"need", ToJson(reservation.need)}});
   }
   dump["quarantined_workers"] = nlohmann::json::array();
   for (WorkerIndex i = 0; i < cluster.worker_slots(); ++i) {
--- a/source/placement/scheduler_dump.h
+++ b/source/placement/scheduler_dump.h
@@ -12,7 +12,7 @@
 /// Returns the state of a scheduler as JSON, for a person.
 std::string DumpScheduler(const PendingQueue& queue,
                           const Cluster& cluster,
-                          const ReservationTable& claims);
+                          const ReservationTable& reservations);
 
 }  // namespace fulmarrock
 
--- a/tests/support/first_fit_scheduler.h
+++ b/tests/support/first_fit_scheduler.h
@@ -30,6 +30,7 @@
   void OnUsage(const NodeId&, const UsageReport&, Millis) override {
     ++usage_count;
   }
+  bool IsQuarantined(const NodeId&) const override { return false; }
   size_t pending_count() const override { return m_pending.size(); }
   size_t running_count() const override { return m_running.size(); }
   std::string DumpState() const override { return "{}"; }
