Agent: Take over the last events of an earlier agent

Cause: a task that completed while its agent was dead was granted again, since a new agent dropped the worker's events of earlier sessions. Change: the new agent reports them to control under their epochs; control takes them only while the epoch is current. Stops by the new agent are reported too, so those tasks go on elsewhere without waiting for the lease.

--- a/source/agent/task_runner.cc
+++ b/source/agent/task_runner.cc
@@ -108,6 +108,17 @@
     AddEvent({task, it->second.epoch, kind, detail, runtime});
 }
 
+void TaskRunner::OnPastTaskEnd(TaskId task,
+                               Epoch epoch,
+                               TaskEventKind kind,
+                               const std::string& detail,
+                               Millis runtime) {
+  // Without this a task that completed after its agent died would run again.
+  // Control ignores what it has heard before, or has granted anew since.
+  m_counters.Add("agent_past_tasks_reported");
+  AddEvent({task, epoch, kind, detail.substr(0, kMaxDetailBytes), runtime});
+}
+
 void TaskRunner::OnUsage(const std::vector<TaskUsage>& usage) {
   m_usage = usage;
 }
--- a/source/agent/task_runner.h
+++ b/source/agent/task_runner.h
@@ -62,6 +62,11 @@
                    TaskEventKind kind,
                    const std::string& detail,
                    Millis runtime) override;
+  void OnPastTaskEnd(TaskId task,
+                     Epoch epoch,
+                     TaskEventKind kind,
+                     const std::string& detail,
+                     Millis runtime) override;
   void OnUsage(const std::vector<TaskUsage>& usage) override;
 
  private:
--- a/source/agent/worker_client.h
+++ b/source/agent/worker_client.h
@@ -56,6 +56,14 @@
                            const std::string& detail,
                            Millis runtime) = 0;
 
+  /// A task that an earlier agent process had started under `epoch` has ended.
+  /// The earlier agent may have reported it or not.
+  virtual void OnPastTaskEnd(TaskId task,
+                             Epoch epoch,
+                             TaskEventKind kind,
+                             const std::string& detail,
+                             Millis runtime) = 0;
+
   /// Measured use of the running tasks.
   virtual void OnUsage(const std::vector<TaskUsage>& usage) = 0;
 };
--- a/source/net/http_worker_client.cc
+++ b/source/net/http_worker_client.cc
@@ -245,8 +245,12 @@
     return;
   m_last_event = sequence;
   const auto it = m_tasks.find(task);
-  // Events of tasks that an earlier agent started are not this one's concern.
-  if (session != m_session || it == m_tasks.end() || it->second != epoch)
+  if (session != m_session) {
+    if (*kind != TaskEventKind::kStarted)
+      m_listener->OnPastTaskEnd(task, epoch, *kind, detail, runtime);
+    return;
+  }
+  if (it == m_tasks.end() || it->second != epoch)
     return;
   if (*kind != TaskEventKind::kStarted)
     m_tasks.erase(it);
--- a/tests/net/http_worker_client_test.cc
+++ b/tests/net/http_worker_client_test.cc
@@ -81,6 +81,7 @@
   }
 
   Mailbox<SeenEvent> events;
+  Mailbox<SeenEvent> past_events;
 
  private:
   void OnTaskEvent(TaskId task,
@@ -89,6 +90,13 @@
                    Millis) override {
     events.Put({task, kind, detail});
   }
+  void OnPastTaskEnd(TaskId task,
+                     Epoch,
+                     TaskEventKind kind,
+                     const std::string& detail,
+                     Millis) override {
+    past_events.Put({task, kind, detail});
+  }
   void OnUsage(const std::vector<TaskUsage>&) override {}
 
   LoopThread m_thread;
@@ -163,6 +171,31 @@
   CHECK(agent.Take().kind == TaskEventKind::kCompleted);
 }
 
+// Guards against a completion that is lost with the agent, after which the task
+// would run a second time.
+TEST_CASE("a new agent hears of tasks that ended without one") {
+  Worker worker(1);
+  {
+    Agent agent(worker.address(), 2);
+    agent.Start({1, 0}, R"({"duration_ms": 2000})");
+    CHECK(agent.Take().kind == TaskEventKind::kStarted);
+    agent.Start({2, 0}, R"({"duration_ms": 0})");
+    CHECK(agent.Take().task == TaskId{2, 0});
+    agent.ExtendLeases();
+    // The short task shows that the lease arrived; the long one outlives the
+    // agent.
+    CHECK(agent.Take().task == TaskId{2, 0});
+  }
+  Agent other(worker.address(), 3);
+  std::optional<SeenEvent> past;
+  do {
+    past = other.past_events.Take();
+    REQUIRE(past);
+  } while (past->task == TaskId{2, 0});
+  CHECK(past->task == TaskId{1, 0});
+  CHECK(past->kind == TaskEventKind::kCompleted);
+}
+
 // Guards against two agents that both believe they run the tasks of a worker.
 TEST_CASE("a new agent stops the tasks of the earlier one") {
   Worker worker(1);
--- a/tests/support/scenario_worker.cc
+++ b/tests/support/scenario_worker.cc
@@ -10,8 +10,18 @@
 
 }  // namespace
 
+void ScenarioWorker::SetListener(WorkerListener* listener) {
+  m_listener = listener;
+  if (!listener)
+    return;
+  for (const MissedEnd& end : std::exchange(m_missed, {}))
+    listener->OnPastTaskEnd(end.task, end.epoch, end.kind, end.detail,
+                            end.runtime);
+}
+
 void ScenarioWorker::StopAll() {
-  m_tasks.clear();
+  for (const auto& [id, task] : std::exchange(m_tasks, {}))
+    Report(id, task.epoch, TaskEventKind::kStopped, "", task.done);
 }
 
 void ScenarioWorker::ExtendLeases(Millis remaining) {
@@ -20,6 +30,7 @@
 
 void ScenarioWorker::Start(const TaskGrant& grant) {
   Task task;
+  task.epoch = grant.epoch;
   task.resources = grant.resources;
   std::string text = grant.payload;
   task.fails = m_fails_everything || text.rfind("fail", 0) == 0;
@@ -33,7 +44,7 @@
   task.last_step = m_clock.Now();
   m_tasks[grant.task] = task;
   ++m_starts[grant.task];
-  Report(grant.task, TaskEventKind::kStarted, "", Millis(0));
+  Report(grant.task, grant.epoch, TaskEventKind::kStarted, "", Millis(0));
 }
 
 void ScenarioWorker::Checkpoint(TaskId task) {
@@ -41,9 +52,10 @@
   if (it == m_tasks.end())
     return;
   const Millis done = it->second.done;
+  const Epoch epoch = it->second.epoch;
   m_tasks.erase(it);
-  Report(task, TaskEventKind::kCheckpointed, std::to_string(done.count()),
-         done);
+  Report(task, epoch, TaskEventKind::kCheckpointed,
+         std::to_string(done.count()), done);
 }
 
 void ScenarioWorker::Stop(TaskId task) {
@@ -51,9 +63,10 @@
   if (it == m_tasks.end())
     return;
   const Millis done = it->second.done;
+  const Epoch epoch = it->second.epoch;
   if (!m_ignores_stops)
     m_tasks.erase(it);
-  Report(task, TaskEventKind::kStopped, "", done);
+  Report(task, epoch, TaskEventKind::kStopped, "", done);
 }
 
 void ScenarioWorker::Suspend(TaskId task) {
@@ -84,13 +97,15 @@
     m_tasks.erase(id);
     if (!task.fails)
       ++m_completions[id];
-    Report(id, task.fails ? TaskEventKind::kFailed : TaskEventKind::kCompleted,
+    Report(id, task.epoch,
+           task.fails ? TaskEventKind::kFailed : TaskEventKind::kCompleted,
            task.fails ? "exit code 1" : "", task.done);
   }
 }
 
 void ScenarioWorker::Crash() {
   m_tasks.clear();
+  m_missed.clear();
   m_listener = nullptr;
 }
 
@@ -118,11 +133,14 @@
 }
 
 void ScenarioWorker::Report(TaskId task,
+                            Epoch epoch,
                             TaskEventKind kind,
                             const std::string& detail,
                             Millis runtime) {
   if (m_listener)
     m_listener->OnTaskEvent(task, kind, detail, runtime);
+  else if (kind != TaskEventKind::kStarted)
+    m_missed.push_back({task, epoch, kind, detail, runtime});
 }
 
 }  // namespace fulmarrock::test
--- a/tests/support/scenario_worker.h
+++ b/tests/support/scenario_worker.h
@@ -18,7 +18,7 @@
   explicit ScenarioWorker(ManualClock& clock) : m_clock(clock) {}
 
   /// Sets who hears of events; null after the agent died.
-  void SetListener(WorkerListener* listener) { m_listener = listener; }
+  void SetListener(WorkerListener* listener);
 
   void StopAll() override;
   void ExtendLeases(Millis remaining) override;
@@ -52,6 +52,7 @@
 
  private:
   struct Task {
+    Epoch epoch = 0;
     Resources resources;
     Millis done;
     Millis length;
@@ -60,7 +61,17 @@
     bool is_suspended = false;
   };
 
+  /// End of a task while there was no agent.
+  struct MissedEnd {
+    TaskId task;
+    Epoch epoch = 0;
+    TaskEventKind kind = TaskEventKind::kStopped;
+    std::string detail;
+    Millis runtime;
+  };
+
   void Report(TaskId task,
+              Epoch epoch,
               TaskEventKind kind,
               const std::string& detail,
               Millis runtime);
@@ -68,6 +79,7 @@
   ManualClock& m_clock;
   WorkerListener* m_listener = nullptr;
   std::map<TaskId, Task> m_tasks;
+  std::vector<MissedEnd> m_missed;
   std::map<TaskId, int> m_completions;
   std::map<TaskId, int> m_starts;
   Millis m_lease_end;
