--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,12 @@
 bench: build
 	@$(BUILD_DIR)/bench/fulmarrock_bench $(FILTER)
 
+# The figures behind docs/CAPACITY.md: slopes of the roles, then real processes.
+AGENTS ?= 60
+capacity: build
+	@$(BUILD_DIR)/bench/fulmarrock_capacity
+	@bash bench/capacity/processes.sh $(BUILD_DIR) $(AGENTS)
+
 # Random failures with fresh seeds; a failing run prints its seed and script.
 FUZZ_RUNS ?= 2000
 fuzz: build
