--- a/source/config/configuration_json.cc
+++ b/source/config/configuration_json.cc
@@ -22,7 +22,11 @@
 constexpr int64_t kMaxAttempts = 100;
 constexpr int64_t kMaxRuntimeMs = int64_t{30} * 24 * 3600 * 1000;
 constexpr size_t kMaxNameLength = 128;
+// A grant repeats the payload and must fit a frame together with others.
 constexpr size_t kMaxPayloadBytes = 64 * 1024;
+// A copy of lists of these sizes stays below the frame limit of 4 MiB.
+constexpr size_t kMaxPlans = 1'000;
+constexpr size_t kMaxCustomers = 10'000;
 
 bool IsValidName(std::string_view name) {
   const auto is_allowed = [](char c) {
@@ -161,6 +165,11 @@
 
 Result<void> ValidateConfiguration(const Configuration& configuration) {
   FieldErrors errors;
+  if (configuration.plans.size() > kMaxPlans)
+    errors.Add("/plans", "has too many entries", "keep at most 1000 plans");
+  if (configuration.customers.size() > kMaxCustomers)
+    errors.Add("/customers", "has too many entries",
+               "keep at most 10000 customers");
   CheckNames("plans", configuration.plans, errors);
   CheckNames("customers", configuration.customers, errors);
   for (const Plan& plan : configuration.plans)
--- a/source/config/field_errors.cc
+++ b/source/config/field_errors.cc
@@ -19,7 +19,8 @@
     if (!error.remedy.empty())
       text += "; " + error.remedy;
   }
-  return MakeError(ErrorKind::kInvalidArgument, std::move(text), "");
+  return MakeError(ErrorKind::kInvalidArgument, std::move(text),
+                   "correct every field listed");
 }
 
 }  // namespace fulmarrock
--- a/source/control/control_operators.cc
+++ b/source/control/control_operators.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "source/config/configuration_json.h"
 #include "source/control/control_role.h"
 
 // The operators' side of the control role.
@@ -32,7 +33,8 @@
   if (!IsAccepting(done) || !IsValidOperationId(request.operation_id, done))
     return;
   SortLists(request.configuration);
-  if (Result<void> valid = ValidateLists(request.configuration); !valid) {
+  if (Result<void> valid = ValidateConfiguration(request.configuration);
+      !valid) {
     m_counters.Add("control_invalid_lists");
     done(tl::make_unexpected(valid.error()));
     return;
@@ -52,7 +54,7 @@
 void ControlRole::SubmitJob(SubmitRequest request, Done<JobId> done) {
   if (!IsAccepting(done) || !IsValidOperationId(request.operation_id, done))
     return;
-  if (Result<void> valid = ValidateSpec(request.spec); !valid) {
+  if (Result<void> valid = ValidateJobSpec(request.spec); !valid) {
     m_counters.Add("control_invalid_jobs");
     done(tl::make_unexpected(valid.error()));
     return;
--- a/source/control/job_table.h
+++ b/source/control/job_table.h
@@ -158,9 +158,6 @@
   JobId m_last_id = 0;
 };
 
-/// Checks everything about a specification that depends on itself alone.
-Result<void> ValidateSpec(const JobSpec& spec);
-
 /// Checks a specification against the customer's plan and the jobs.
 Result<void> ValidateAgainstPlan(const JobSpec& spec,
                                  const Configuration& configuration,
