--- a/source/config/settings.cc
+++ b/source/config/settings.cc
@@ -191,7 +191,8 @@
 Result<std::string> ReadTextFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   if (!file) {
-    return MakeError(ErrorKind::kIo, "cannot open \"" + path + "\"",
+    return MakeError(ErrorKind::kInvalidArgument,
+                     "cannot open \"" + path + "\"",
                      "check that the file exists and is readable");
   }
   std::string text(kMaxFileBytes + 1, '\0');
--- a/source/config/settings.h
+++ b/source/config/settings.h
@@ -73,7 +73,8 @@
 /// every wrong, missing or unknown field with its place and remedy.
 Result<Settings> ParseSettings(std::string_view text);
 
-/// Reads a whole file of at most 1 MiB. Fails with kIo or kResourceExhausted.
+/// Reads a whole file of at most 1 MiB. Fails with kInvalidArgument if it
+/// cannot be opened, and kResourceExhausted if it is larger.
 Result<std::string> ReadTextFile(const std::string& path);
 
 }  // namespace fulmarrock
