Scenarios: Add a member that names the whole group in its settings

The daemon passes all members of its settings to a node with an empty folder, also when it joins a running group. The scenario shows that it neither disturbs the group nor votes before it has caught up.

--- a/tests/support/scenario_cluster.cc
+++ b/tests/support/scenario_cluster.cc
@@ -98,6 +98,9 @@
 void ScenarioCluster::StartNewMember(const NodeId& node) {
   auto control = std::make_unique<ControlNode>();
   control->options.node = node;
+  // The daemon names all members of its settings, the new one among them.
+  control->options.initial_members = ControlIds();
+  control->options.initial_members.push_back(node);
   OpenMember(*control);
   m_members[node] = std::move(control);
 }
