Agent: Report the service's latency and its neighbours to control

And a service that is a target, not a task of ours, was unknown to placement. Change: the task runner adds the probe's p99, its objective and the batch workloads that execute; the scheduler counts a reported service as sensitive on its worker.

--- a/source/agent/task_runner.cc
+++ b/source/agent/task_runner.cc
@@ -1,6 +1,7 @@
 #include "source/agent/task_runner.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 #include <variant>
 
@@ -16,6 +17,7 @@
 /// A late copy of a grant is refused by its age after one term, so ended
 /// epochs need not be kept for longer.
 constexpr Millis kPastRetention = kLeaseTerm * 2;
+constexpr int64_t kMinServiceRequests = 100;
 constexpr size_t kMaxEventsPerMessage = 1'000;
 constexpr size_t kMaxDetailBytes = 512;
 
@@ -69,7 +71,7 @@
     SendRenew();
   if (!m_events.empty() && (m_has_unsent_events || now >= m_next_events))
     SendEvents();
-  if (!m_usage.empty() && now >= m_next_usage)
+  if ((!m_usage.empty() || m_service_probe) && now >= m_next_usage)
     SendUsage();
   if (now >= m_next_forget)
     ForgetPastLeases();
@@ -204,8 +206,7 @@
   lease.kind = grant.kind;
   lease.resources = grant.resources;
   lease.can_checkpoint = grant.can_checkpoint;
-  if (grant.kind == TaskKind::kKernel)
-    lease.kernel = grant.workload;
+  lease.workload = grant.workload;
   lease.started_at = m_clock.Now();
   lease.valid_until = valid_until;
   m_used += grant.resources;
@@ -356,9 +357,9 @@
     return;
   std::vector<std::string> kernels;
   for (const auto& [task, lease] : m_leases) {
-    if (!lease.kernel.empty() && lease.state == LeaseState::kRunning &&
-        !lease.is_suspended)
-      kernels.push_back(lease.kernel);
+    if (lease.kind == TaskKind::kKernel &&
+        lease.state == LeaseState::kRunning && !lease.is_suspended)
+      kernels.push_back(lease.workload);
   }
   if (kernels == m_kernels)
     return;
@@ -435,10 +436,30 @@
   UsageReport report;
   report.incarnation = m_settings.incarnation;
   report.tasks = std::exchange(m_usage, {});
+  report.services = MeasureService();
   if (!m_leader.empty())
     m_transport.Send(m_leader, report);
 }
 
+std::vector<ServiceLatency> TaskRunner::MeasureService() const {
+  if (!m_service_probe)
+    return {};
+  const std::optional<LatencySample> sample = m_service_probe->Read();
+  // A p99 over few requests is mostly chance.
+  if (!sample || sample->request_count < kMinServiceRequests)
+    return {};
+  ServiceLatency latency{m_service, sample->p99, sample->objective, {}};
+  for (const auto& [task, lease] : m_leases) {
+    if (lease.kind == TaskKind::kBatch && lease.state == LeaseState::kRunning &&
+        !lease.is_suspended)
+      latency.neighbour_workloads.push_back(lease.workload);
+  }
+  std::vector<std::string>& names = latency.neighbour_workloads;
+  std::sort(names.begin(), names.end());
+  names.erase(std::unique(names.begin(), names.end()), names.end());
+  return {std::move(latency)};
+}
+
 void TaskRunner::SendToControl(const Message& message) {
   if (!m_leader.empty()) {
     m_transport.Send(m_leader, message);
--- a/source/agent/task_runner.h
+++ b/source/agent/task_runner.h
@@ -11,6 +11,7 @@
 
 #include "source/agent/agent_part.h"
 #include "source/agent/kernel_listener.h"
+#include "source/agent/latency_probe.h"
 #include "source/agent/worker_client.h"
 #include "source/base/clock.h"
 #include "source/base/counters.h"
@@ -49,6 +50,13 @@
     m_kernel_listener = &listener;
   }
 
+  /// Sets the latency of the service beside the worker, which goes into the
+  /// usage reports with the workloads that ran there; may stay unset.
+  void SetServiceProbe(std::string service, const LatencyProbe& probe) {
+    m_service = std::move(service);
+    m_service_probe = &probe;
+  }
+
   // AgentPart:
   void OnMessage(const NodeId& from, const Message& message) override;
   void OnTick() override;
@@ -81,8 +89,8 @@
     TaskKind kind = TaskKind::kBatch;
     Resources resources;
     bool can_checkpoint = false;
-    /// Name by which requests find a kernel; empty for other kinds.
-    std::string kernel;
+    /// For a kernel also the name by which requests find it.
+    std::string workload;
     LeaseState state = LeaseState::kRunning;
     Millis started_at;
     /// The task may execute before this instant.
@@ -128,6 +136,8 @@
   void SendReport();
   void SendEvents();
   void SendUsage();
+  /// Returns the service's latency beside the workloads that execute now.
+  std::vector<ServiceLatency> MeasureService() const;
   /// Sends to the leader, or to all control members while it is not known.
   void SendToControl(const Message& message);
 
@@ -138,6 +148,8 @@
   WorkerClient& m_worker;
   Counters& m_counters;
 
+  std::string m_service;
+  const LatencyProbe* m_service_probe = nullptr;
   KernelListener* m_kernel_listener = nullptr;
   std::vector<std::string> m_kernels;
   std::map<TaskId, Lease> m_leases;
--- a/source/daemon/agent_host.cc
+++ b/source/daemon/agent_host.cc
@@ -65,8 +65,10 @@
     auto part = std::make_unique<TaskRunner>(
         std::move(options), clock, transport, random, *m_worker, m_counters);
     m_worker->Listen(*part);
-    if (server)
+    if (server) {
       part->SetKernelListener(*server);
+      part->SetServiceProbe(settings.target->service, *m_probe);
+    }
     m_role.AddPart(std::move(part));
     if (m_probe) {
       m_role.AddPart(std::make_unique<ThrottleController>(
--- a/source/placement/cluster.cc
+++ b/source/placement/cluster.cc
@@ -102,6 +102,8 @@
   if (worker.is_known)
     CountCapacity(worker.info.capacity, -1);
   worker.is_known = false;
+  for (const WorkloadKey service : std::exchange(worker.reported_services, {}))
+    CountSensitive(worker, service, -1);
   UpdateIndexes(index);
   // A worker with tasks stays until the last one is released.
   if (!worker.tasks.empty())
@@ -266,6 +268,18 @@
   AddCount(m_spread, Mix(key, worker.rack | kRackBit), change);
 }
 
+void Cluster::AddReportedService(WorkerIndex index, WorkloadKey service) {
+  Worker& worker = m_workers[index];
+  const auto& counts = worker.sensitive;
+  const bool is_known =
+      std::any_of(counts.begin(), counts.end(),
+                  [&](const auto& item) { return item.first == service; });
+  if (is_known || worker.reported_services.size() >= kMaxReportedServices)
+    return;
+  worker.reported_services.push_back(service);
+  CountSensitive(worker, service, 1);
+}
+
 void Cluster::CountSensitive(Worker& worker, WorkloadKey workload, int change) {
   auto& counts = worker.sensitive;
   auto it = std::find_if(counts.begin(), counts.end(), [&](const auto& item) {
--- a/source/placement/cluster.h
+++ b/source/placement/cluster.h
@@ -54,6 +54,8 @@
   std::vector<RunningTask*> tasks;
   /// Workloads of the kernels and services here, with their numbers.
   std::vector<std::pair<WorkloadKey, uint32_t>> sensitive;
+  /// Services that only reports have shown here, counted in `sensitive` too.
+  std::vector<WorkloadKey> reported_services;
   bool is_quarantined = false;
   /// False for a worker known only from a task that runs there, or removed
   /// while tasks still ran.
@@ -111,6 +113,9 @@
 
   void SetQuarantined(WorkerIndex worker, bool is_quarantined);
 
+  /// Counts a service that runs on the worker without being a task.
+  void AddReportedService(WorkerIndex worker, WorkloadKey service);
+
   /// Usable capacity of the open workers of a data centre.
   const FreeIndex& free_index(uint32_t data_centre) const {
     return m_free[data_centre];
@@ -152,6 +157,9 @@
 
   void CountCapacity(const Resources& capacity, int change);
   void CountSpread(const RunningTask& task, int change);
+  /// Services of one worker that are known from reports alone.
+  static constexpr size_t kMaxReportedServices = 16;
+
   void CountSensitive(Worker& worker, WorkloadKey workload, int change);
   void UpdateIndexes(WorkerIndex index);
   void NotifyGrowth(WorkerIndex index);
--- a/source/placement/fair_scheduler.cc
+++ b/source/placement/fair_scheduler.cc
@@ -694,8 +694,11 @@
     std::sort(neighbours.begin(), neighbours.end());
     neighbours.erase(std::unique(neighbours.begin(), neighbours.end()),
                      neighbours.end());
-    m_state->policies.interference->Record(MakeWorkloadKey(latency.service),
-                                           neighbours, ratio, now - report.age);
+    // A target need not be a task of ours to suffer from its neighbours.
+    const WorkloadKey service = MakeWorkloadKey(latency.service);
+    m_state->cluster.AddReportedService(worker, service);
+    m_state->policies.interference->Record(service, neighbours, ratio,
+                                           now - report.age);
   }
   if (worst >= 0)
     m_state->overloads.Record(worker, worst, now);
--- a/tests/lease/failure_test.cc
+++ b/tests/lease/failure_test.cc
@@ -1,7 +1,10 @@
+#include <optional>
 #include <string>
+#include <vector>
 
 #include <catch2/catch.hpp>
 
+#include "source/agent/latency_probe.h"
 #include "tests/support/control_scenario.h"
 
 // One script per row of the design page's failure table that concerns control
@@ -102,6 +105,44 @@
       Catch::Equals(""));
 }
 
+/// Latency of a service that is always the same.
+class FixedProbe : public LatencyProbe {
+ public:
+  std::optional<LatencySample> Read() const override {
+    LatencySample sample;
+    sample.p99 = Millis(40);
+    sample.objective = Millis(50);
+    sample.request_count = 1000;
+    return sample;
+  }
+};
+
+// Guards against a control that never learns how workloads disturb a service.
+TEST_CASE("usage reports name the service and the workloads beside it") {
+  ControlCluster cluster(1, 1, 1);
+  cluster.ApplyDefaultLists();
+  const FixedProbe probe;
+  cluster.agents[0]->runner->SetServiceProbe("wallwright", probe);
+  std::vector<ServiceLatency> reported;
+  cluster.network.SetTap(
+      [&reported](const NodeId&, const NodeId&, const Message& message) {
+        if (const auto* report = std::get_if<UsageReport>(&message))
+          reported = report->services;
+      });
+  JobSpec spec = MakeSpec(2);
+  spec.workload = "lighting";
+  REQUIRE(cluster.Submit(spec, "job"));
+  REQUIRE(cluster.RunUntil(
+      [&reported] {
+        return !reported.empty() && !reported[0].neighbour_workloads.empty();
+      },
+      Millis(120'000)));
+  CHECK(reported[0].service == "wallwright");
+  CHECK(reported[0].p99 == Millis(40));
+  CHECK(reported[0].neighbour_workloads ==
+        std::vector<std::string>{"lighting"});
+}
+
 TEST_CASE("failures of the design page") {
   for (const Script& script : kScripts) {
     for (uint64_t seed = 1; seed <= 5; ++seed) {
--- a/tests/placement/placement_rules_test.cc
+++ b/tests/placement/placement_rules_test.cc
@@ -195,9 +195,11 @@
 TEST_CASE("a batch task avoids the service that its workload disturbs") {
   SchedulerFixture f;
   f.AddCustomer("a");
+  // A service may be a task, or a target that only the reports show.
+  const bool is_task = GENERATE(true, false);
   JobSpec& service = f.NewSpec("a", {4'000, 4'000, 0});
-  service.kind = TaskKind::kService;
-  service.name = "wallwright";
+  service.kind = is_task ? TaskKind::kService : TaskKind::kBatch;
+  service.name = is_task ? "wallwright" : "other";
   JobSpec& scan = f.NewSpec("a", {1'000, 1'000, 0});
   scan.workload = "scan";
   f.AddWorker("w1", {16'000, 60'000, 0});
