--- /dev/null
+++ b/source/agent/run_table.cc
@@ -0,0 +1,38 @@
+#include "source/agent/run_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarrock {
+
+void RunEventQueue::Add(const TaskName& task,
+                        RunNumber run,
+                        RunEndKind kind,
+                        std::string checkpoint,
+                        uint64_t end_number) {
+  RunEvent event;
+  event.sequence = ++m_last_sequence;
+  event.task = task;
+  event.run = run;
+  event.kind = kind;
+  event.checkpoint = std::move(checkpoint);
+  m_events.push_back(std::move(event));
+  m_numbers.push_back(end_number);
+  m_last_end = std::max(m_last_end, end_number);
+}
+
+void RunEventQueue::OnStored(uint64_t sequence) {
+  while (!m_events.empty() && m_events.front().sequence <= sequence) {
+    m_stored_end = std::max(m_stored_end, m_numbers.front());
+    m_events.pop_front();
+    m_numbers.pop_front();
+  }
+}
+
+void RunEventQueue::ForgetNumbers() {
+  std::fill(m_numbers.begin(), m_numbers.end(), 0);
+  m_last_end = 0;
+  m_stored_end = 0;
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/agent/workflow_runner.cc
@@ -0,0 +1,643 @@
+#include "source/agent/workflow_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace fulmarrock {
+namespace {
+
+/// Reports while nothing happens.
+constexpr Millis kReportInterval{500};
+/// Reports while the leader is looked for, each to all members.
+constexpr Millis kSearchInterval{250};
+/// Events are sent again after this time.
+constexpr Millis kResendAfter{400};
+
+/// How long a worker may wait for an end before it answers a look.
+constexpr Millis kLookWait{600};
+/// The same while fillers run beside tasks that serve, whose figures cover half
+/// a second.
+constexpr Millis kWatchfulLookWait{200};
+/// Pause after a look that got no answer.
+constexpr Millis kLookRetry{200};
+/// Shortest time between looks.
+constexpr Millis kLookPause{20};
+
+constexpr Millis kStopRetry{500};
+constexpr Millis kReachableFor{2'500};
+
+/// Longest delay after which a worker may carry out an order without an answer.
+constexpr Millis kLateOrderLimit{13'000};
+constexpr Millis kPaceRepeat{1'000};
+
+/// Time without progress after which a run is reported as stalled: the larger
+/// of this and a share of its estimate.
+constexpr Millis kStallAfter{2'500};
+constexpr int64_t kStallPercentOfEstimate = 60;
+/// Progress of a task that is slowed down tells nothing about the worker.
+constexpr int64_t kLowestJudgedPace = 100;
+
+}  // namespace
+
+WorkflowRunner::WorkflowRunner(WorkflowRunnerOptions options,
+                               const Clock& clock,
+                               Transport& transport,
+                               RunClient& client,
+                               std::unique_ptr<FillerPacePolicy> pace,
+                               DecisionLog& decisions)
+    : m_options(std::move(options)),
+      m_clock(clock),
+      m_transport(transport),
+      m_client(client),
+      m_pace(std::move(pace)),
+      m_decisions(decisions),
+      m_contact(m_options.control_members),
+      m_lease(clock.Now(), m_options.longest_lease_step) {}
+
+bool WorkflowRunner::OnAnnouncement(const WorkerAnnouncement& announcement) {
+  const Millis now = m_clock.Now();
+  if (m_worker && m_worker->life == announcement.life) {
+    if (announcement.sequence <= m_worker->sequence || m_has_left)
+      return false;
+    m_is_report_urgent |= announcement.is_leaving != m_worker->is_leaving;
+    if (announcement.is_leaving && !m_worker->is_leaving) {
+      m_decisions.Write(DecisionLine("worker_leaving")
+                            .With("life", announcement.life.id)
+                            .With("runs", static_cast<int64_t>(m_runs.size())));
+    }
+    // Leaving cannot be taken back.
+    const bool is_leaving = m_worker->is_leaving || announcement.is_leaving;
+    m_worker = announcement;
+    m_worker->is_leaving = is_leaving;
+  } else {
+    const bool is_older = m_worker && announcement.life.born_unix_ms <=
+                                          m_worker->life.born_unix_ms;
+    if (is_older) {
+      m_counters.Add("agent_old_announcements");
+      return false;
+    }
+    AdoptLife(announcement);
+  }
+  m_heard_at = now;
+  return true;
+}
+
+void WorkflowRunner::AdoptLife(const WorkerAnnouncement& announcement) {
+  const Millis now = m_clock.Now();
+  m_decisions.Write(
+      DecisionLine("worker_life")
+          .With("life", announcement.life.id)
+          .With("born", announcement.life.born_unix_ms)
+          .With("lost_runs", static_cast<int64_t>(m_runs.size())));
+  const bool is_first = !m_worker;
+  m_worker = announcement;
+  m_has_left = false;
+  m_was_lapsed = false;
+  ++m_life_number;
+  m_runs.clear();
+  m_confirmed.clear();
+  m_events.ForgetNumbers();
+  m_is_looking = false;
+  m_has_looked = false;
+  m_needs_full = true;
+  m_next_look = now;
+  m_filler_percent = 100;
+  m_filler_cpu = -1;
+  if (!is_first)
+    m_lease.ResetWorker(now);
+  m_client.SetWorker(announcement.life, announcement.address);
+  m_is_report_urgent = true;
+}
+
+void WorkflowRunner::OnDeparture(std::string_view id) {
+  if (!m_worker || m_worker->life.id != id)
+    return;
+  m_decisions.Write(DecisionLine("worker_left")
+                        .With("life", m_worker->life.id)
+                        .With("runs", static_cast<int64_t>(m_runs.size())));
+  m_has_left = true;
+  m_runs.clear();
+  m_is_report_urgent = true;
+}
+
+void WorkflowRunner::OnMessage(const NodeId& from, const Message& message) {
+  if (const auto* orders = std::get_if<WorkerOrders>(&message)) {
+    OnOrders(from, *orders);
+  } else if (const auto* view = std::get_if<GroupView>(&message)) {
+    m_contact.AddMembers(view->members);
+    if (m_contact.leader() != view->leader) {
+      m_contact.OnHint(view->leader);
+      m_is_report_urgent = true;
+    }
+  }
+}
+
+void WorkflowRunner::OnOrders(const NodeId& from, const WorkerOrders& orders) {
+  const Millis now = m_clock.Now();
+  if (orders.term < m_term || orders.agent != m_options.incarnation) {
+    m_counters.Add("agent_stale_orders");
+    return;
+  }
+  m_term = orders.term;
+  m_contact.AddMembers(orders.members);
+  m_contact.OnLeader(from, now);
+  m_events.OnStored(orders.stored_sequence);
+  if (!m_worker || !(orders.life == m_worker->life))
+    return;
+  m_needs_full |= orders.needs_full;
+  for (const RunListing& order : orders.stops)
+    OnStopOrder(order);
+  if (orders.lease == Millis(0))
+    return;
+  m_lease.OnGranted(orders.report_sent_at, orders.lease);
+  // An order that was delayed beyond its own lease may belong to a run that
+  // control has given to another worker since.
+  if (now >= orders.report_sent_at + orders.lease) {
+    m_counters.Add("agent_expired_orders");
+    return;
+  }
+  for (const StartOrder& order : orders.starts)
+    OnStartOrder(order);
+}
+
+void WorkflowRunner::OnStartOrder(const StartOrder& order) {
+  const auto it = m_runs.find(order.task);
+  if (it != m_runs.end()) {
+    LocalRun& local = it->second;
+    if (local.run != order.run)
+      return;
+    if (!local.is_described) {
+      local.order = order;
+      local.is_described = true;
+    }
+    if (local.stage == RunStage::kRunning)
+      m_confirmed.push_back({order.task, order.run});
+    return;
+  }
+  const bool may_start = m_worker && !m_worker->is_leaving && !m_has_left &&
+                         !m_is_stopping && m_has_looked;
+  if (!may_start) {
+    // Control repeats the order to an agent that is about to know its worker.
+    const bool is_final = m_worker && (m_worker->is_leaving || m_has_left);
+    if (is_final)
+      EndRun(order.task, order.run, RunEndKind::kRefused, order.checkpoint, 0);
+    return;
+  }
+  LocalRun& local = m_runs[order.task];
+  local.run = order.run;
+  local.order = order;
+  local.is_described = true;
+  local.since = m_clock.Now();
+  local.progress_at = local.since;
+  StartRun(order.task);
+}
+
+void WorkflowRunner::StartRun(const TaskName& task) {
+  LocalRun& local = m_runs.at(task);
+  const std::optional<Millis> run_until = m_lease.TakeExtension(m_clock.Now());
+  if (!run_until) {
+    EndRun(task, local.run, RunEndKind::kRefused, local.order.checkpoint, 0);
+    return;
+  }
+  StartRequest request;
+  request.task = task;
+  request.run = local.run;
+  request.payload = local.order.payload;
+  request.checkpoint = local.order.checkpoint;
+  request.run_until = *run_until;
+  request.fence = m_term;
+  m_client.Start(request, [this, task, run = local.run,
+                           life = m_life_number](const StartAnswer& answer) {
+    if (life == m_life_number)
+      OnStartAnswer(task, run, answer);
+  });
+}
+
+void WorkflowRunner::OnStartAnswer(const TaskName& task,
+                                   RunNumber run,
+                                   const StartAnswer& answer) {
+  const Millis now = m_clock.Now();
+  if (answer.worker_clock) {
+    m_lease.OnWorkerClock(*answer.worker_clock, now);
+    m_heard_at = now;
+  }
+  const auto it = m_runs.find(task);
+  if (it == m_runs.end() || it->second.run != run)
+    return;
+  LocalRun& local = it->second;
+  if (answer.verdict != StartVerdict::kStarted) {
+    m_decisions.Write(
+        DecisionLine("start_refused")
+            .With("task", ToString(task))
+            .With("run", int64_t{run})
+            .With("verdict", static_cast<int64_t>(answer.verdict)));
+  }
+  if (local.stage != RunStage::kStarting)
+    return;
+  switch (answer.verdict) {
+    case StartVerdict::kStarted:
+      local.stage = RunStage::kRunning;
+      local.since = now;
+      local.progress_at = now;
+      m_confirmed.push_back({task, run});
+      m_is_report_urgent = true;
+      return;
+    case StartVerdict::kUnknown:
+      m_counters.Add("agent_unanswered_starts");
+      local.stage = RunStage::kDoubtful;
+      local.since = now;
+      return;
+    case StartVerdict::kDeclined:
+      EndRun(task, run, RunEndKind::kDeclined, local.order.checkpoint, 0);
+      return;
+    case StartVerdict::kNoRoom:
+    case StartVerdict::kOutdated:
+    case StartVerdict::kInvalid:
+      EndRun(task, run, RunEndKind::kRefused, local.order.checkpoint, 0);
+      return;
+  }
+}
+
+void WorkflowRunner::OnStopOrder(const RunListing& order) {
+  if (m_has_left)
+    return;
+  const auto it = m_runs.find(order.task);
+  if (it != m_runs.end() && it->second.run != order.run)
+    return;
+  const bool is_known = it != m_runs.end();
+  if (is_known && (it->second.stage == RunStage::kStopping ||
+                   it->second.stage == RunStage::kStopped)) {
+    return;
+  }
+  LocalRun& local = m_runs[order.task];
+  local.run = order.run;
+  StopRun(order.task);
+}
+
+void WorkflowRunner::StopRun(const TaskName& task) {
+  LocalRun& local = m_runs.at(task);
+  local.stage = RunStage::kStopping;
+  local.since = m_clock.Now();
+  m_client.Stop(
+      task, local.run, m_term,
+      [this, task, run = local.run, life = m_life_number](bool is_answered) {
+        const auto it = m_runs.find(task);
+        if (life != m_life_number || it == m_runs.end() ||
+            it->second.run != run || !is_answered) {
+          return;
+        }
+        it->second.stage = RunStage::kStopped;
+        it->second.since = m_clock.Now();
+      });
+}
+
+void WorkflowRunner::EndRun(const TaskName& task,
+                            RunNumber run,
+                            RunEndKind kind,
+                            std::string checkpoint,
+                            uint64_t end_number) {
+  m_events.Add(task, run, kind, std::move(checkpoint), end_number);
+  m_is_report_urgent = true;
+  const auto it = m_runs.find(task);
+  if (it != m_runs.end() && it->second.run == run)
+    m_runs.erase(it);
+}
+
+void WorkflowRunner::OnTick() {
+  const Millis now = m_clock.Now();
+  if (!m_worker)
+    return;
+  for (auto& [task, local] : m_runs) {
+    if (local.stage == RunStage::kStopping && now - local.since >= kStopRetry)
+      StopRun(task);
+  }
+  if (!m_is_looking && now >= m_next_look && NeedsLook())
+    Look();
+  CheckLapse();
+  if (IsReportDue())
+    SendReport();
+}
+
+bool WorkflowRunner::NeedsLook() const {
+  if (m_has_left)
+    return false;
+  return !m_has_looked || !m_runs.empty() ||
+         m_events.last_end() > m_events.stored_end();
+}
+
+Millis WorkflowRunner::LookWait() const {
+  if (!m_has_looked)
+    return Millis(0);
+  bool has_filler = false;
+  bool has_serving = false;
+  for (const auto& [task, local] : m_runs) {
+    has_filler |= local.order.is_filler;
+    has_serving |= local.order.latency_target > Millis(0);
+    if (local.stage == RunStage::kDoubtful || local.stage == RunStage::kStopped)
+      return kLookPause;
+  }
+  return has_filler && has_serving ? kWatchfulLookWait : kLookWait;
+}
+
+void WorkflowRunner::Look() {
+  const Millis now = m_clock.Now();
+  LookRequest request;
+  request.run_until = m_lease.TakeExtension(now);
+  request.stored_ends = m_events.stored_end();
+  request.wait = LookWait();
+  request.fence = m_term;
+  m_is_looking = true;
+  m_client.Look(request, [this, now, life = m_life_number](
+                             const std::optional<LookAnswer>& answer) {
+    if (life == m_life_number)
+      OnLook(now, answer);
+  });
+}
+
+void WorkflowRunner::OnLook(Millis sent_at,
+                            const std::optional<LookAnswer>& answer) {
+  const Millis now = m_clock.Now();
+  m_is_looking = false;
+  m_next_look = now + (answer ? kLookPause : kLookRetry);
+  if (!answer) {
+    m_counters.Add("agent_unanswered_looks");
+    return;
+  }
+  // Another life answers under the same id; it will announce itself.
+  if (answer->born_unix_ms != 0 &&
+      answer->born_unix_ms != m_worker->life.born_unix_ms) {
+    m_counters.Add("agent_looks_of_other_life");
+    return;
+  }
+  m_heard_at = now;
+  m_was_lapsed = false;
+  m_lease.OnWorkerClock(answer->worker_clock, now);
+  FollowEnds(*answer);
+  FollowRows(*answer, sent_at);
+  m_has_looked = true;
+  UpdatePace(*answer);
+  SendPaces();
+  if (m_is_report_urgent && IsReportDue())
+    SendReport();
+}
+
+void WorkflowRunner::FollowEnds(const LookAnswer& answer) {
+  for (const EndRow& row : answer.ended) {
+    if (row.number <= m_events.last_end())
+      continue;
+    EndRun(row.task, row.run, row.kind, row.checkpoint, row.number);
+  }
+}
+
+void WorkflowRunner::FollowRows(const LookAnswer& answer, Millis sent_at) {
+  const Millis now = m_clock.Now();
+  std::set<TaskName> listed;
+  for (const RunRow& row : answer.running) {
+    listed.insert(row.task);
+    const auto [it, is_new] = m_runs.try_emplace(row.task);
+    LocalRun& local = it->second;
+    if (!is_new && local.run != row.run)
+      continue;
+    const bool becomes_known = is_new || local.stage == RunStage::kStarting ||
+                               local.stage == RunStage::kDoubtful;
+    if (becomes_known) {
+      local.run = row.run;
+      local.stage = RunStage::kRunning;
+      local.since = now;
+      local.progress_at = now;
+      // A run that is found after a restart may have been slowed down.
+      if (is_new)
+        local.pace_percent = -1;
+      m_confirmed.push_back({row.task, row.run});
+      m_is_report_urgent = true;
+    }
+    FollowProgress(local, row);
+  }
+  SettleUnlisted(listed, sent_at);
+}
+
+void WorkflowRunner::SettleUnlisted(const std::set<TaskName>& listed,
+                                    Millis sent_at) {
+  std::vector<TaskName> doubtful;
+  std::vector<TaskName> gone;
+  for (auto& [task, local] : m_runs) {
+    if (listed.contains(task) || sent_at <= local.since)
+      continue;
+    if (local.stage == RunStage::kRunning ||
+        local.stage == RunStage::kDoubtful) {
+      doubtful.push_back(task);
+    } else if (local.stage == RunStage::kStopped &&
+               sent_at > local.since + m_options.stop_limit) {
+      gone.push_back(task);
+    }
+  }
+  // An answered stop keeps a run that is not there from ever starting.
+  for (const TaskName& task : doubtful)
+    StopRun(task);
+  for (const TaskName& task : gone) {
+    const LocalRun& local = m_runs.at(task);
+    EndRun(task, local.run, RunEndKind::kRefused, local.order.checkpoint, 0);
+  }
+}
+
+void WorkflowRunner::FollowProgress(LocalRun& local, const RunRow& row) {
+  const bool is_judged =
+      local.pace_percent >= kLowestJudgedPace || !local.order.is_filler;
+  if (row.percent == local.progress_percent && is_judged)
+    return;
+  local.progress_percent = row.percent;
+  local.progress_at = m_clock.Now();
+}
+
+void WorkflowRunner::UpdatePace(const LookAnswer& answer) {
+  ServingLatency latency;
+  int64_t filler_cpu = 0;
+  bool has_filler = false;
+  for (const RunRow& row : answer.running) {
+    const auto it = m_runs.find(row.task);
+    if (it == m_runs.end() || row.figure < 0)
+      continue;
+    const StartOrder& order = it->second.order;
+    if (order.is_filler) {
+      has_filler = true;
+      filler_cpu += row.figure;
+    }
+    if (order.latency_target > Millis(0)) {
+      latency.worst_percent =
+          std::max(latency.worst_percent,
+                   row.figure * 100 / order.latency_target.count());
+    }
+  }
+  m_filler_cpu = has_filler ? filler_cpu : -1;
+  const int64_t percent = m_pace->Update(latency, m_clock.Now());
+  if (percent == m_filler_percent)
+    return;
+  m_decisions.Write(DecisionLine("filler_pace")
+                        .With("worst_latency_percent", latency.worst_percent)
+                        .With("from", m_filler_percent)
+                        .With("to", percent));
+  m_filler_percent = percent;
+}
+
+void WorkflowRunner::SendPaces() {
+  const Millis now = m_clock.Now();
+  const bool is_repeat =
+      now < m_repeat_paces_until && now >= m_next_pace_repeat;
+  if (is_repeat)
+    m_next_pace_repeat = now + kPaceRepeat;
+  for (auto& [task, local] : m_runs) {
+    const bool is_due = local.pace_percent != m_filler_percent || is_repeat;
+    if (!local.order.is_filler || local.stage != RunStage::kRunning ||
+        local.is_pace_in_flight || !is_due) {
+      continue;
+    }
+    local.is_pace_in_flight = true;
+    const int64_t percent = m_filler_percent;
+    m_client.SetPace(task, local.run, percent, m_term,
+                     [this, name = task, run = local.run, percent,
+                      life = m_life_number](bool is_answered) {
+                       if (!is_answered)
+                         m_repeat_paces_until = m_clock.Now() + kLateOrderLimit;
+                       const auto it = m_runs.find(name);
+                       if (life != m_life_number || it == m_runs.end() ||
+                           it->second.run != run) {
+                         return;
+                       }
+                       it->second.is_pace_in_flight = false;
+                       it->second.pace_percent = is_answered ? percent : -1;
+                       it->second.progress_at = m_clock.Now();
+                     });
+  }
+}
+
+std::vector<RunStall> WorkflowRunner::FindStalls() const {
+  const Millis now = m_clock.Now();
+  std::vector<RunStall> stalls;
+  if (!IsWorkerReachable())
+    return stalls;
+  for (const auto& [task, local] : m_runs) {
+    const StartOrder& order = local.order;
+    const bool is_judged = local.stage == RunStage::kRunning &&
+                           local.is_described && !order.is_lasting &&
+                           !order.is_filler;
+    if (!is_judged)
+      continue;
+    const Millis limit =
+        std::max(kStallAfter, order.estimate * kStallPercentOfEstimate / 100);
+    const Millis quiet = now - local.progress_at;
+    if (quiet >= limit)
+      stalls.push_back({task, local.run, quiet});
+  }
+  return stalls;
+}
+
+bool WorkflowRunner::IsWorkerReachable() const {
+  return m_clock.Now() - m_heard_at < kReachableFor;
+}
+
+bool WorkflowRunner::HasLapsed() const {
+  return m_has_left ||
+         (!IsWorkerReachable() && m_lease.HasSurelyLapsed(m_clock.Now()));
+}
+
+void WorkflowRunner::CheckLapse() {
+  if (m_was_lapsed || !HasLapsed())
+    return;
+  m_was_lapsed = true;
+  m_is_report_urgent = true;
+  m_decisions.Write(DecisionLine("worker_lapsed")
+                        .With("life", m_worker->life.id)
+                        .With("silent_ms", m_clock.Now() - m_heard_at)
+                        .With("runs", static_cast<int64_t>(m_runs.size())));
+  m_runs.clear();
+}
+
+bool WorkflowRunner::IsReportDue() const {
+  const Millis age = m_clock.Now() - m_last_report;
+  if (!m_contact.IsHeard(m_clock.Now()))
+    return age >= kSearchInterval;
+  const bool has_unsent = m_events.last_sequence() > m_sent_sequence;
+  const bool has_unstored = !m_events.events().empty();
+  return m_is_report_urgent || has_unsent || age >= kReportInterval ||
+         (has_unstored && age >= kResendAfter);
+}
+
+void WorkflowRunner::SendReport() {
+  const Millis now = m_clock.Now();
+  const WorkerReport report = MakeReport();
+  m_last_report = now;
+  m_is_report_urgent = false;
+  if (m_contact.IsHeard(now)) {
+    m_transport.Send(m_contact.leader(), report);
+    return;
+  }
+  m_counters.Add("agent_searches_for_leader");
+  for (const NodeId& member : m_contact.members())
+    m_transport.Send(member, report);
+}
+
+WorkerReport WorkflowRunner::MakeReport() {
+  const Millis now = m_clock.Now();
+  WorkerReport report;
+  report.agent = m_options.incarnation;
+  report.sent_at = now;
+  report.life = m_worker->life;
+  report.offer = m_worker->offer;
+  report.has_lapsed = HasLapsed();
+  report.is_taking = !m_worker->is_leaving && !m_has_left && !m_is_stopping &&
+                     m_has_looked && IsWorkerReachable();
+  report.is_full = m_needs_full && m_has_looked;
+  if (report.is_full) {
+    for (const auto& [task, local] : m_runs) {
+      if (local.stage == RunStage::kRunning)
+        report.listed.push_back({task, local.run});
+    }
+    m_needs_full = false;
+  } else {
+    report.listed = m_confirmed;
+  }
+  m_confirmed.clear();
+  const bool resends = now - m_last_report >= kResendAfter ||
+                       !m_contact.IsHeard(now) || report.is_full;
+  for (const RunEvent& event : m_events.events()) {
+    if (resends || event.sequence > m_sent_sequence)
+      report.events.push_back(event);
+  }
+  m_sent_sequence = m_events.last_sequence();
+  report.stalls = FindStalls();
+  report.filler_percent = static_cast<uint32_t>(m_filler_percent);
+  report.filler_cpu_millicores = -1;
+  return report;
+}
+
+bool WorkflowRunner::IsDrained() const {
+  if (!m_is_stopping)
+    return false;
+  return std::none_of(m_runs.begin(), m_runs.end(), [](const auto& item) {
+    return item.second.stage == RunStage::kStarting;
+  });
+}
+
+std::string WorkflowRunner::DumpState() const {
+  nlohmann::json runs = nlohmann::json::array();
+  for (const auto& [task, local] : m_runs) {
+    runs.push_back({{"task", ToString(task)},
+                    {"run", local.run},
+                    {"stage", static_cast<int>(local.stage)},
+                    {"pace_percent", local.pace_percent},
+                    {"progress_percent", local.progress_percent}});
+  }
+  const nlohmann::json state = {
+      {"worker", m_worker ? m_worker->life.id : std::string()},
+      {"is_leaving", m_worker && m_worker->is_leaving},
+      {"is_granted", m_lease.IsGranted(m_clock.Now())},
+      {"leader", m_contact.leader()},
+      {"unstored_events", m_events.events().size()},
+      {"filler_percent", m_filler_percent},
+      {"runs", std::move(runs)}};
+  return state.dump();
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/agent/workflow_runner.h
@@ -0,0 +1,156 @@
+#ifndef SOURCE_AGENT_WORKFLOW_RUNNER_H_
+#define SOURCE_AGENT_WORKFLOW_RUNNER_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "source/agent/filler_pace.h"
+#include "source/agent/run_client.h"
+#include "source/agent/run_table.h"
+#include "source/agent/worker_lease.h"
+#include "source/base/clock.h"
+#include "source/base/decision_log.h"
+#include "source/message/group_contact.h"
+#include "source/message/role.h"
+#include "source/message/transport.h"
+
+namespace fulmarrock {
+
+/// What a worker says of itself.
+struct WorkerAnnouncement {
+  WorkerLife life;
+  /// Where it takes calls, as "ip:port".
+  std::string address;
+  WorkerOffer offer;
+  bool is_leaving = false;
+  /// Rises with each announcement of one life.
+  uint64_t sequence = 0;
+  std::optional<Millis> worker_clock;
+};
+
+/// Settings of a runner.
+struct WorkflowRunnerOptions {
+  NodeId id;
+  Incarnation incarnation = 0;
+  std::vector<NodeId> control_members;
+  /// Longest extension of its lease that the worker accepts.
+  Millis longest_lease_step{6'000};
+  /// Longest time from a stop to the end of the run.
+  Millis stop_limit{400};
+};
+
+/// The agent's side of workflows: starts and stops runs on the worker beside it
+/// as control orders, extends the worker's lease within the one that control
+/// granted, and reports ends until they are stored.
+class WorkflowRunner : public Role {
+ public:
+  /// The references outlive the runner.
+  WorkflowRunner(WorkflowRunnerOptions options,
+                 const Clock& clock,
+                 Transport& transport,
+                 RunClient& client,
+                 std::unique_ptr<FillerPacePolicy> pace,
+                 DecisionLog& decisions);
+
+  /// The worker spoke. Returns whether its word was taken; a word of an earlier
+  /// life, or one that was overtaken, is not.
+  bool OnAnnouncement(const WorkerAnnouncement& announcement);
+
+  /// The worker with this id has left for good.
+  void OnDeparture(std::string_view id);
+
+  /// Adds nodes where the control group may be found.
+  void AddMembers(const std::vector<NodeId>& members) {
+    m_contact.AddMembers(members);
+  }
+
+  // Role:
+  void OnMessage(const NodeId& from, const Message& message) override;
+  void OnTick() override;
+  void BeginShutdown() override { m_is_stopping = true; }
+  bool IsDrained() const override;
+  std::string DumpState() const override;
+  const Counters& counters() const override { return m_counters; }
+
+ private:
+  using Runs = std::map<TaskName, LocalRun>;
+
+  void AdoptLife(const WorkerAnnouncement& announcement);
+  void OnOrders(const NodeId& from, const WorkerOrders& orders);
+  void OnStartOrder(const StartOrder& order);
+  void OnStopOrder(const RunListing& order);
+  void StartRun(const TaskName& task);
+  void OnStartAnswer(const TaskName& task,
+                     RunNumber run,
+                     const StartAnswer& answer);
+  void StopRun(const TaskName& task);
+  void EndRun(const TaskName& task,
+              RunNumber run,
+              RunEndKind kind,
+              std::string checkpoint,
+              uint64_t end_number);
+
+  bool NeedsLook() const;
+  Millis LookWait() const;
+  void Look();
+  void OnLook(Millis sent_at, const std::optional<LookAnswer>& answer);
+  void FollowEnds(const LookAnswer& answer);
+  void FollowRows(const LookAnswer& answer, Millis sent_at);
+  void SettleUnlisted(const std::set<TaskName>& listed, Millis sent_at);
+  void FollowProgress(LocalRun& local, const RunRow& row);
+  void UpdatePace(const LookAnswer& answer);
+  void SendPaces();
+  std::vector<RunStall> FindStalls() const;
+
+  bool IsWorkerReachable() const;
+  bool HasLapsed() const;
+  void CheckLapse();
+  bool IsReportDue() const;
+  void SendReport();
+  WorkerReport MakeReport();
+
+  const WorkflowRunnerOptions m_options;
+  const Clock& m_clock;
+  Transport& m_transport;
+  RunClient& m_client;
+  const std::unique_ptr<FillerPacePolicy> m_pace;
+  DecisionLog& m_decisions;
+  Counters m_counters;
+  GroupContact m_contact;
+
+  std::optional<WorkerAnnouncement> m_worker;
+  bool m_has_left = false;
+  bool m_was_lapsed = false;
+  bool m_is_stopping = false;
+  WorkerLease m_lease;
+  Millis m_heard_at;
+  Runs m_runs;
+  RunEventQueue m_events;
+
+  // Calls carry the number of the life they were made in, so that late answers
+  // of an earlier life are dropped.
+  uint64_t m_life_number = 0;
+  bool m_is_looking = false;
+  bool m_has_looked = false;
+  Millis m_next_look;
+  int64_t m_filler_percent = 100;
+  int64_t m_filler_cpu = -1;
+  // Pace orders without an answer may still be carried out until then.
+  Millis m_repeat_paces_until;
+  Millis m_next_pace_repeat;
+
+  Term m_term = 0;
+  bool m_needs_full = true;
+  bool m_is_report_urgent = false;
+  Millis m_last_report;
+  uint64_t m_sent_sequence = 0;
+  std::vector<RunListing> m_confirmed;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_AGENT_WORKFLOW_RUNNER_H_
--- a/source/base/steady_clock.cc
+++ b/source/base/steady_clock.cc
@@ -1,13 +1,15 @@
 #include "source/base/steady_clock.h"
 
-#include <chrono>
+#include <ctime>
 
 namespace fulmarrock {
 
 Millis SteadyClock::Now() const {
-  const auto elapsed = std::chrono::steady_clock::now().time_since_epoch();
-  return Millis(
-      std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count());
+  // Unlike CLOCK_MONOTONIC this clock also runs while the instance is
+  // suspended, and leases run out then.
+  timespec time{};
+  ::clock_gettime(CLOCK_BOOTTIME, &time);
+  return Millis(int64_t{time.tv_sec} * 1'000 + time.tv_nsec / 1'000'000);
 }
 
 }  // namespace fulmarrock
--- a/source/config/json_reader.cc
+++ b/source/config/json_reader.cc
@@ -132,6 +132,46 @@
   return field->get<int64_t>();
 }
 
+double JsonReader::Number(const std::string& name,
+                          double minimum,
+                          double maximum,
+                          double fallback) {
+  const json* field = Find(name);
+  if (!field)
+    return fallback;
+  const double value =
+      field->is_number() ? field->get<double>() : minimum - 1.0;
+  if (value < minimum || value > maximum) {
+    Report(name, "has the invalid value " + field->dump().substr(0, 40),
+           "use a number in the documented range");
+    return fallback;
+  }
+  return value;
+}
+
+std::vector<int64_t> JsonReader::Integers(const std::string& name,
+                                          int64_t minimum,
+                                          int64_t maximum) {
+  std::vector<int64_t> values;
+  const json* field = Find(name);
+  if (!field)
+    return values;
+  if (!field->is_array()) {
+    Report(name, "must be an array of whole numbers", "write it as [ 1, 2 ]");
+    return values;
+  }
+  for (const json& item : *field) {
+    const int64_t value =
+        item.is_number_integer() ? item.get<int64_t>() : minimum - 1;
+    if (value < minimum || value > maximum)
+      Report(name, "has the invalid element " + item.dump().substr(0, 40),
+             "use whole numbers in the documented range");
+    else
+      values.push_back(value);
+  }
+  return values;
+}
+
 bool JsonReader::Boolean(const std::string& name, bool fallback) {
   const json* field = Find(name);
   if (!field)
--- a/source/config/json_reader.h
+++ b/source/config/json_reader.h
@@ -39,6 +39,17 @@
                   int64_t maximum,
                   std::optional<int64_t> fallback = std::nullopt);
 
+  /// Reads a number, whole or not, in [minimum, maximum].
+  double Number(const std::string& name,
+                double minimum,
+                double maximum,
+                double fallback);
+
+  /// Reads an array of integers in [minimum, maximum] that may be absent.
+  std::vector<int64_t> Integers(const std::string& name,
+                                int64_t minimum,
+                                int64_t maximum);
+
   bool Boolean(const std::string& name, bool fallback);
 
   /// Reads an array of strings that may be absent.
--- a/source/config/settings.cc
+++ b/source/config/settings.cc
@@ -20,6 +20,9 @@
 constexpr int64_t kMaxConnections = 4096;
 constexpr int64_t kMaxObjectiveMs = 600'000;
 constexpr int64_t kMaxShutdownMs = 3'600'000;
+constexpr int64_t kMinLeaseMs = 500;
+constexpr int64_t kMaxLeaseMs = 600'000;
+constexpr int64_t kMaxElectionMs = 600'000;
 
 /// Processes find each other by IP number, so host names are refused.
 bool IsIpAndPort(const std::string& address) {
@@ -101,6 +104,62 @@
   return worker;
 }
 
+WorkflowSettings ReadWorkflow(JsonReader& reader) {
+  WorkflowSettings workflow;
+  workflow.caller_listen = ReadAddress(reader, "caller_listen", false);
+  workflow.ready_listen = ReadAddress(reader, "ready_listen", false);
+  workflow.operator_listen = ReadAddress(reader, "operator_listen", false);
+  workflow.worker_listen = ReadAddress(reader, "worker_listen", false);
+  workflow.lease = Millis(reader.Integer("lease_ms", kMinLeaseMs, kMaxLeaseMs,
+                                         workflow.lease.count()));
+  workflow.longest_lease_step =
+      Millis(reader.Integer("longest_lease_step_ms", kMinLeaseMs, kMaxLeaseMs,
+                            workflow.longest_lease_step.count()));
+  workflow.stop_limit = Millis(reader.Integer("stop_limit_ms", 0, kMaxLeaseMs,
+                                              workflow.stop_limit.count()));
+  reader.Finish();
+  return workflow;
+}
+
+ConsensusSettings ReadConsensus(JsonReader& reader) {
+  ConsensusSettings consensus;
+  consensus.heartbeat = Millis(reader.Integer("heartbeat_ms", 1, kMaxElectionMs,
+                                              consensus.heartbeat.count()));
+  consensus.election_timeout_min =
+      Millis(reader.Integer("election_timeout_min_ms", 2, kMaxElectionMs,
+                            consensus.election_timeout_min.count()));
+  consensus.election_timeout_max =
+      Millis(reader.Integer("election_timeout_max_ms", 3, kMaxElectionMs,
+                            consensus.election_timeout_max.count()));
+  const bool is_ordered =
+      consensus.heartbeat * 2 <= consensus.election_timeout_min &&
+      consensus.election_timeout_min < consensus.election_timeout_max;
+  if (!is_ordered)
+    reader.Report("election_timeout_min_ms", "does not fit the other times",
+                  "set it to at least two heartbeats and below the maximum");
+  reader.Finish();
+  return consensus;
+}
+
+/// Reads addresses of control members, of which only the IP number counts: it
+/// is the member's name, and the port for messages is that of this process.
+void ReadSeeds(JsonReader& reader, Settings& settings) {
+  for (const std::string& address : reader.Strings("control_seeds")) {
+    if (!IsIpAndPort(address)) {
+      reader.Report("control_seeds",
+                    "\"" + address + "\" is not an IP number and port",
+                    "write it as \"10.0.0.1:7000\"");
+      continue;
+    }
+    PeerSettings peer;
+    peer.node = address.substr(0, address.rfind(':'));
+    peer.peer_address = peer.node + settings.peer_listen.substr(
+                                        settings.peer_listen.rfind(':'));
+    settings.finds_members = true;
+    settings.control_members.push_back(std::move(peer));
+  }
+}
+
 void ReadRoles(JsonReader& reader, Settings& settings) {
   for (const std::string& role : reader.Strings("roles")) {
     if (role == "entry")
@@ -128,10 +187,12 @@
   const bool is_member = std::any_of(
       settings.control_members.begin(), settings.control_members.end(),
       [&settings](const auto& peer) { return peer.node == settings.node; });
-  if (settings.runs_control && !settings.control_members.empty() && !is_member)
+  if (settings.runs_control && !settings.control_members.empty() &&
+      !is_member && !settings.finds_members)
     reader.Report("control", "does not list this node",
                   "add \"" + settings.node + "\" or remove the control role");
-  if (settings.runs_agent && !settings.target && !settings.worker)
+  if (settings.runs_agent && !settings.target && !settings.worker &&
+      !settings.workflow)
     reader.Report("target", "is missing, and so is worker",
                   "describe what runs beside the agent: target, worker or "
                   "both");
@@ -173,11 +234,17 @@
   settings.http_listen = ReadAddress(reader, "http_listen", true);
   settings.data_folder = reader.String("data_folder", "");
   settings.control_members = ReadPeers(reader, "control");
+  ReadSeeds(reader, settings);
+  settings.founds_group = reader.Boolean("found_group", true);
   settings.entries = ReadPeers(reader, "entries");
   if (std::optional<JsonReader> target = reader.Object("target"))
     settings.target = ReadTarget(*target);
   if (std::optional<JsonReader> worker = reader.Object("worker"))
     settings.worker = ReadWorker(*worker);
+  if (std::optional<JsonReader> workflow = reader.Object("workflow"))
+    settings.workflow = ReadWorkflow(*workflow);
+  if (std::optional<JsonReader> consensus = reader.Object("consensus"))
+    settings.consensus = ReadConsensus(*consensus);
   ReadLog(reader, settings);
   settings.shutdown_limit = Millis(reader.Integer(
       "shutdown_limit_ms", 0, kMaxShutdownMs, settings.shutdown_limit.count()));
--- a/source/config/settings.h
+++ b/source/config/settings.h
@@ -43,6 +43,33 @@
   Resources capacity;
 };
 
+/// Where a process serves workflows, and how their leases are counted.
+/// Addresses are written as "ip:port" and empty for an interface that is not
+/// served.
+struct WorkflowSettings {
+  /// Callers' interface of an entry.
+  std::string caller_listen;
+  /// Tells load balancers whether an entry is ready.
+  std::string ready_listen;
+  /// Operators' interface of a control member.
+  std::string operator_listen;
+  /// Interface of an agent for the worker beside it.
+  std::string worker_listen;
+  /// Time for which an agent may keep its worker running without news.
+  Millis lease{15'000};
+  /// Longest extension of its lease that a worker accepts.
+  Millis longest_lease_step{6'000};
+  /// Longest time from a stop to the end of the run.
+  Millis stop_limit{400};
+};
+
+/// Times of the consensus among control members; equal at all of them.
+struct ConsensusSettings {
+  Millis heartbeat{100};
+  Millis election_timeout_min{300};
+  Millis election_timeout_max{600};
+};
+
 /// Settings of one daemon.
 struct Settings {
   NodeId node;
@@ -62,6 +89,15 @@
   std::vector<PeerSettings> entries;
   std::optional<TargetSettings> target;
   std::optional<WorkerSettings> worker;
+  std::optional<WorkflowSettings> workflow;
+  ConsensusSettings consensus;
+  /// Whether control members are found through a few of them, and take each
+  /// other in. Nodes are then named by their IP number, and all use the port of
+  /// peer_listen.
+  bool finds_members = false;
+  /// Whether the control members of the settings found the group, when their
+  /// data folders are empty.
+  bool founds_group = true;
   /// Folder for log files; empty means standard error.
   std::string log_file;
   bool log_debug = false;
--- a/source/consensus/consensus_node.cc
+++ b/source/consensus/consensus_node.cc
@@ -139,6 +139,17 @@
   return m_role == Role::kLeader && m_is_ready && HeardFromLeader();
 }
 
+std::vector<NodeId> ConsensusNode::SilentMembers(Millis silence) const {
+  std::vector<NodeId> silent;
+  for (const Member& member : m_log->members().members()) {
+    if (member.node != m_options.node &&
+        m_replicator->SilenceOf(member.node) >= silence) {
+      silent.push_back(member.node);
+    }
+  }
+  return silent;
+}
+
 std::vector<Member> ConsensusNode::Members() const {
   return m_log->members().members();
 }
--- a/source/consensus/replicated_log.h
+++ b/source/consensus/replicated_log.h
@@ -6,6 +6,7 @@
 
 #include "source/base/error.h"
 #include "source/base/ids.h"
+#include "source/base/millis.h"
 #include "source/message/consensus_messages.h"
 
 namespace fulmarrock {
@@ -32,6 +33,12 @@
   virtual Term CurrentTerm() const = 0;
   virtual LogIndex CommitIndex() const = 0;
 
+  /// Members from which the leader has heard nothing for at least `silence`.
+  virtual std::vector<NodeId> SilentMembers(Millis silence) const = 0;
+
+  /// Incarnation of this member's data folder.
+  virtual Incarnation OwnIncarnation() const = 0;
+
   /// The membership in effect.
   virtual std::vector<Member> Members() const = 0;
 
--- a/source/consensus/replicator.cc
+++ b/source/consensus/replicator.cc
@@ -143,6 +143,12 @@
   return it == m_peers.end() ? 0 : it->second.match;
 }
 
+Millis Replicator::SilenceOf(const NodeId& node) const {
+  const auto it = m_peers.find(node);
+  return it == m_peers.end() ? Millis(0)
+                             : m_clock.Now() - it->second.last_answer;
+}
+
 bool Replicator::IsCaughtUp(const NodeId& node) const {
   const auto it = m_peers.find(node);
   return it != m_peers.end() && it->second.match >= m_commit_index &&
--- a/source/consensus/replicator.h
+++ b/source/consensus/replicator.h
@@ -60,6 +60,9 @@
   /// Index up to which a member is known to hold the log.
   LogIndex MatchOf(const NodeId& node) const;
 
+  /// Time since a member's last answer, or since the first request without one.
+  Millis SilenceOf(const NodeId& node) const;
+
   /// Whether a member answered lately and holds all committed entries. A member
   /// that does not answer must not become a voter: it would cost the quorum.
   bool IsCaughtUp(const NodeId& node) const;
--- a/source/control/commands.cc
+++ b/source/control/commands.cc
@@ -10,7 +10,7 @@
          cancellations.empty() && announcements.empty() && drains.empty() &&
          events.empty() && expired.empty() && forgotten_workers.empty() &&
          evictions.empty() && unplaceable.empty() && grants.empty() &&
-         claims.empty() && claim_outcomes.empty();
+         claims.empty() && claim_outcomes.empty() && workflow.IsEmpty();
 }
 
 std::string EncodeBatch(const CommandBatch& batch) {
--- a/source/control/commands.h
+++ b/source/control/commands.h
@@ -12,6 +12,7 @@
 #include "source/message/configuration.h"
 #include "source/message/request_messages.h"
 #include "source/message/task_messages.h"
+#include "source/workflow/workflow_commands.h"
 
 namespace fulmarrock {
 
@@ -182,13 +183,15 @@
   std::vector<GrantCommand> grants;
   std::vector<ClaimCommand> claims;
   std::vector<ClaimOutcomeCommand> claim_outcomes;
+  WorkflowBatch workflow;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.time, self.configurations, self.submissions,
             self.cancellations, self.announcements, self.drains, self.events,
             self.expired, self.forgotten_workers, self.evictions,
-            self.unplaceable, self.grants, self.claims, self.claim_outcomes);
+            self.unplaceable, self.grants, self.claims, self.claim_outcomes,
+            self.workflow);
   }
 
   /// Tells whether no list has an item.
--- a/source/control/control_operators.cc
+++ b/source/control/control_operators.cc
@@ -51,6 +51,30 @@
   m_next.configurations.push_back(std::move(command));
 }
 
+void ControlRole::SetDirectory(QueueDirectory directory, Done<bool> done) {
+  if (!IsAccepting(done))
+    return;
+  m_next_bytes += directory.document.size() * 2;
+  m_workflows.SetDirectory(
+      std::move(directory), m_next.workflow,
+      [done = std::move(done)](const Result<void>& result) {
+        if (result)
+          done(true);
+        else
+          done(tl::make_unexpected(result.error()));
+      });
+}
+
+Result<QueueDirectory> ControlRole::GetDirectory() const {
+  if (!IsLeading())
+    return tl::make_unexpected(NotLeader());
+  if (m_state.workflows().directory().version == 0) {
+    return MakeError(ErrorKind::kUnavailable, "no queues are configured yet",
+                     "set them first");
+  }
+  return m_state.workflows().directory();
+}
+
 void ControlRole::SubmitJob(SubmitRequest request, Done<JobId> done) {
   if (!IsAccepting(done) || !IsValidOperationId(request.operation_id, done))
     return;
--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -40,7 +40,15 @@
       m_scheduler(scheduler),
       m_distributor(m_state.lists(), transport),
       m_claims(transport, m_counters),
-      m_dispatcher(m_state, scheduler, m_leases, transport, m_counters) {}
+      m_dispatcher(m_state, scheduler, m_leases, transport, m_counters),
+      m_workflows(m_state.workflows(), transport, random, m_counters) {}
+
+void ControlRole::ConfigureWorkflows(const WorkflowOptions& options,
+                                     const WallClock& wall_clock,
+                                     DecisionLog& decisions) {
+  m_wall_clock = &wall_clock;
+  m_workflows.Configure(options, decisions);
+}
 
 void ControlRole::OnMessage(const NodeId& from, const Message& message) {
   if (const auto* poll = std::get_if<ConfigPoll>(&message)) {
@@ -52,6 +60,10 @@
     m_distributor.OnAck(from, ack->version, m_clock.Now());
     return;
   }
+  if (m_keeper && m_keeper->OnMessage(from, message))
+    return;
+  if (OnWorkflowMessage(from, message))
+    return;
   // Followers stay silent: agents and entries learn the leader by its answers.
   if (!IsLeading())
     return;
@@ -76,11 +88,34 @@
   }
 }
 
+bool ControlRole::OnWorkflowMessage(const NodeId& from,
+                                    const Message& message) {
+  if (const auto* call = std::get_if<WorkflowCall>(&message)) {
+    if (IsLeading() && !m_is_stopping)
+      m_workflows.OnCall(from, *call, m_next.workflow);
+    else
+      m_workflows.RedirectCall(from, *call);
+    return true;
+  }
+  if (const auto* report = std::get_if<WorkerReport>(&message)) {
+    if (IsLeading())
+      m_workflows.OnReport(from, *report, m_next.workflow, m_clock.Now());
+    else
+      m_workflows.RedirectReport(from);
+    return true;
+  }
+  return false;
+}
+
 void ControlRole::OnTick() {
   const Millis now = m_clock.Now();
   m_distributor.OnTick(now);
+  if (m_keeper)
+    m_keeper->OnTick();
   if (!IsLeading())
     return;
+  const int64_t unix_ms = m_wall_clock ? m_wall_clock->NowUnixMs() : 0;
+  m_workflows.OnTick({now, now + m_time_offset, unix_ms}, m_next.workflow);
   CompleteMemberWaiters();
   SolicitReports();
   for (const LeaseEvent& event : m_leases.Scan(now))
@@ -134,6 +169,7 @@
   m_proposed_events.clear();
   m_leases.Reset(m_state.workers().index_count(), now);
   m_dispatcher.Rebuild(m_time_offset, now);
+  m_workflows.OnLeadershipGained(now);
 }
 
 void ControlRole::OnLeadershipLost() {
@@ -141,6 +177,7 @@
   m_next = CommandBatch();
   m_next_bytes = 0;
   m_dispatcher.Clear();
+  m_workflows.OnLeadershipLost();
   FailWaiters({ErrorKind::kUnavailable,
                "the leader changed before the change was known to be committed",
                "repeat it with the same operation id"});
@@ -380,6 +417,7 @@
   for (const WorkerIndex worker : effects.acknowledged)
     SendEventsAck(worker);
   m_claims.OnEffects(effects);
+  m_workflows.OnEffects(effects.workflow, now);
   for (const OperationEffect& effect : effects.operations) {
     const auto it = m_waiters.find(effect.token);
     if (it == m_waiters.end())
--- a/source/control/control_role.h
+++ b/source/control/control_role.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -10,14 +11,17 @@
 
 #include "source/base/clock.h"
 #include "source/base/random_source.h"
+#include "source/base/wall_clock.h"
 #include "source/consensus/replicated_log.h"
 #include "source/consensus/state_machine.h"
 #include "source/control/claim_service.h"
 #include "source/control/config_distributor.h"
 #include "source/control/control_state.h"
+#include "source/control/group_keeper.h"
 #include "source/control/lease_monitor.h"
 #include "source/control/operator_service.h"
 #include "source/control/task_dispatcher.h"
+#include "source/control/workflow_service.h"
 #include "source/message/role.h"
 
 namespace fulmarrock {
@@ -38,7 +42,21 @@
               Scheduler& scheduler);
 
   /// Sets the log that this role proposes to; must come before any other call.
-  void AttachLog(ReplicatedLog& log) { m_log = &log; }
+  void AttachLog(ReplicatedLog& log) {
+    m_log = &log;
+    m_workflows.AttachLog(log);
+  }
+
+  /// Sets what the handling of workflows depends on.
+  void ConfigureWorkflows(const WorkflowOptions& options,
+                          const WallClock& wall_clock,
+                          DecisionLog& decisions);
+
+  /// Makes this member look for its group at these nodes and join it.
+  void KeepGroup(std::unique_ptr<GroupKeeper> keeper) {
+    m_keeper = std::move(keeper);
+  }
+  GroupKeeper* keeper() { return m_keeper.get(); }
 
   // Role:
   void OnMessage(const NodeId& from, const Message& message) override;
@@ -70,6 +88,9 @@
   Result<JobView> ShowJob(JobId job) const override;
   std::vector<JobView> ListJobs(std::string_view customer) const override;
   ClusterStatus GetStatus() const override;
+  void SetDirectory(QueueDirectory directory, Done<bool> done) override;
+  Result<QueueDirectory> GetDirectory() const override;
+  NodeId LeaderNode() const override { return m_log->Leader(); }
 
   const ControlState& state() const { return m_state; }
 
@@ -94,6 +115,8 @@
   void FailWaiters(const Error& error);
   void CompleteMemberWaiters();
 
+  /// Handles messages about workflows; returns whether it was one.
+  bool OnWorkflowMessage(const NodeId& from, const Message& message);
   void OnAnnounce(const NodeId& from, const WorkerAnnounce& announce);
   void OnRenew(const NodeId& from, const LeaseRenew& renew);
   void OnReport(const NodeId& from, const LeaseReport& report);
@@ -128,6 +151,9 @@
   ConfigDistributor m_distributor;
   ClaimService m_claims;
   TaskDispatcher m_dispatcher;
+  WorkflowService m_workflows;
+  const WallClock* m_wall_clock = nullptr;
+  std::unique_ptr<GroupKeeper> m_keeper;
 
   bool m_is_leader = false;
   bool m_is_stopping = false;
--- a/source/control/control_snapshot.cc
+++ b/source/control/control_snapshot.cc
@@ -18,11 +18,12 @@
   JobTable::Image jobs;
   std::vector<WorkerRecord> workers;
   std::vector<ClaimRecord> claims;
+  WorkflowState::Image workflows;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.format, self.time, self.lists, self.operations, self.jobs,
-            self.workers, self.claims);
+            self.workers, self.claims, self.workflows);
   }
 };
 
@@ -34,6 +35,7 @@
   image.jobs = m_jobs.Save();
   image.workers = m_workers.Save();
   image.claims = m_claims.Save();
+  image.workflows = m_workflows.Save();
   return PackStruct(image);
 }
 
@@ -54,6 +56,7 @@
   m_jobs.Restore(std::move(image.jobs));
   m_workers.Restore(std::move(image.workers));
   m_claims.Restore(std::move(image.claims));
+  m_workflows.Restore(std::move(image.workflows));
   for (const auto& [id, job] : m_jobs.jobs()) {
     for (uint32_t i = 0; i < job.tasks.size(); ++i) {
       const TaskRecord& task = job.tasks[i];
--- a/source/control/control_state.cc
+++ b/source/control/control_state.cc
@@ -70,6 +70,7 @@
     effects.claim_outcomes.emplace_back(command.entry,
                                         ClaimOutcomeAck{command.outcome.id});
   }
+  effects.workflow = m_workflows.Apply(batch.workflow, m_time);
   return effects;
 }
 
--- a/source/control/control_state.h
+++ b/source/control/control_state.h
@@ -13,6 +13,7 @@
 #include "source/control/operation_table.h"
 #include "source/control/worker_table.h"
 #include "source/placement/scheduler.h"
+#include "source/workflow/workflow_state.h"
 
 namespace fulmarrock {
 
@@ -62,6 +63,7 @@
   /// Replies per entry.
   std::vector<std::pair<NodeId, ClaimReply>> claims;
   std::vector<std::pair<NodeId, ClaimOutcomeAck>> claim_outcomes;
+  WorkflowEffects workflow;
   /// Set when the command could not be decoded; nothing was applied.
   bool is_malformed = false;
 };
@@ -89,6 +91,7 @@
   const JobTable& jobs() const { return m_jobs; }
   const WorkerTable& workers() const { return m_workers; }
   const ClaimTable& claims() const { return m_claims; }
+  const WorkflowState& workflows() const { return m_workflows; }
 
  private:
   struct Image;
@@ -127,6 +130,7 @@
   JobTable m_jobs;
   WorkerTable m_workers;
   ClaimTable m_claims;
+  WorkflowState m_workflows;
 };
 
 }  // namespace fulmarrock
--- /dev/null
+++ b/source/control/group_keeper.cc
@@ -0,0 +1,136 @@
+#include "source/control/group_keeper.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarrock {
+namespace {
+
+constexpr Millis kRequestInterval{500};
+constexpr Millis kCheckInterval{1'000};
+
+/// Silence after which a member of an even group is dropped. A restart takes
+/// less.
+constexpr Millis kDropAfter{6'000};
+
+/// Time without a leader after which a member doubts that it is one.
+constexpr Millis kDoubtAfter{3'000};
+
+/// A group as small as this is not made smaller.
+constexpr size_t kSmallestGroup = 3;
+
+}  // namespace
+
+GroupKeeper::GroupKeeper(NodeId self,
+                         std::vector<NodeId> contacts,
+                         const Clock& clock,
+                         Transport& transport,
+                         ReplicatedLog& log,
+                         DecisionLog& decisions)
+    : m_self(std::move(self)),
+      m_clock(clock),
+      m_transport(transport),
+      m_log(log),
+      m_decisions(decisions),
+      m_leader_seen_at(clock.Now()) {
+  AddContacts(contacts);
+}
+
+void GroupKeeper::AddContacts(const std::vector<NodeId>& contacts) {
+  for (const NodeId& node : contacts) {
+    if (node != m_self && !node.empty())
+      m_contacts.insert(node);
+  }
+}
+
+bool GroupKeeper::OnMessage(const NodeId& from, const Message& message) {
+  if (const auto* view = std::get_if<GroupView>(&message)) {
+    AddContacts(view->members);
+    return true;
+  }
+  const auto* request = std::get_if<JoinRequest>(&message);
+  if (!request)
+    return false;
+  AddContacts({from});
+  if (m_log.IsLeader()) {
+    OnJoinRequest(from, request->incarnation);
+    return true;
+  }
+  GroupView view;
+  view.leader = m_log.Leader();
+  for (const Member& member : m_log.Members())
+    view.members.push_back(member.node);
+  m_transport.Send(from, view);
+  return true;
+}
+
+void GroupKeeper::OnTick() {
+  const Millis now = m_clock.Now();
+  if (!m_log.Leader().empty())
+    m_leader_seen_at = now;
+  const bool is_in_doubt = now - m_leader_seen_at >= kDoubtAfter;
+  if ((!IsMember() || is_in_doubt) && now >= m_next_request) {
+    m_next_request = now + kRequestInterval;
+    AskToJoin();
+  }
+  if (m_log.IsLeader() && now >= m_next_check) {
+    m_next_check = now + kCheckInterval;
+    DropSilentMember();
+  }
+}
+
+bool GroupKeeper::IsMember() const {
+  const std::vector<Member> members = m_log.Members();
+  return std::any_of(members.begin(), members.end(), [&](const Member& member) {
+    return member.node == m_self &&
+           (member.incarnation == 0 ||
+            member.incarnation == m_log.OwnIncarnation());
+  });
+}
+
+void GroupKeeper::AskToJoin() {
+  std::set<NodeId> nodes = m_contacts;
+  for (const Member& member : m_log.Members())
+    nodes.insert(member.node);
+  nodes.erase(m_self);
+  for (const NodeId& node : nodes)
+    m_transport.Send(node, JoinRequest{m_log.OwnIncarnation()});
+}
+
+void GroupKeeper::OnJoinRequest(const NodeId& from, Incarnation incarnation) {
+  const std::vector<Member> members = m_log.Members();
+  const auto known = std::find_if(
+      members.begin(), members.end(),
+      [&from](const Member& member) { return member.node == from; });
+  if (known == members.end()) {
+    LogChange("member_added", from, m_log.AddMember(from, incarnation));
+    return;
+  }
+  if (known->incarnation != incarnation && known->incarnation != 0)
+    LogChange("member_removed", from, m_log.RemoveMember(from));
+}
+
+void GroupKeeper::DropSilentMember() {
+  const std::vector<Member> members = m_log.Members();
+  if (members.size() % 2 != 0 || members.size() <= kSmallestGroup)
+    return;
+  const std::vector<NodeId> silent = m_log.SilentMembers(kDropAfter);
+  if (!silent.empty())
+    LogChange("silent_member_removed", silent.front(),
+              m_log.RemoveMember(silent.front()));
+}
+
+void GroupKeeper::LogChange(std::string_view change,
+                            const NodeId& node,
+                            const Result<LogIndex>& result) {
+  // While an earlier change is under way the node asks again, and nothing has
+  // been decided yet.
+  if (!result && result.error().kind == ErrorKind::kConflict)
+    return;
+  m_decisions.Write(DecisionLine(change)
+                        .With("member", node)
+                        .With("outcome", result ? std::string("proposed")
+                                                : result.error().Describe()));
+}
+
+}  // namespace fulmarrock
--- a/source/control/operator_service.h
+++ b/source/control/operator_service.h
@@ -13,6 +13,7 @@
 #include "source/message/config_messages.h"
 #include "source/message/consensus_messages.h"
 #include "source/message/task_messages.h"
+#include "source/message/workflow.h"
 
 namespace fulmarrock {
 
@@ -140,6 +141,18 @@
   virtual Result<JobView> ShowJob(JobId job) const = 0;
   virtual std::vector<JobView> ListJobs(std::string_view customer) const = 0;
   virtual ClusterStatus GetStatus() const = 0;
+
+  /// Sets the queues and services of workflows. An older or equal version
+  /// changes nothing and succeeds. Fails with kInvalidArgument for invalid
+  /// content, kNotLeader, or kUnavailable when the result is not known.
+  virtual void SetDirectory(QueueDirectory directory, Done<bool> done) = 0;
+
+  /// Returns the queues and services in force. Fails with kNotLeader when this
+  /// member cannot be sure which version is the newest.
+  virtual Result<QueueDirectory> GetDirectory() const = 0;
+
+  /// The member that leads as far as known, or empty.
+  virtual NodeId LeaderNode() const = 0;
 };
 
 }  // namespace fulmarrock
--- /dev/null
+++ b/source/control/workflow_service.cc
@@ -0,0 +1,486 @@
+#include "source/control/workflow_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace fulmarrock {
+namespace {
+
+/// Most runs planned in one command.
+constexpr size_t kMaxPlannedRuns = 400;
+
+/// Waiting work is looked at again after this time even if nothing changed,
+/// because pauses of workers end.
+constexpr Millis kReplanAfter{100};
+
+/// When a caller that was refused may come again.
+constexpr Millis kRetryAfter{1'000};
+
+}  // namespace
+
+WorkflowService::WorkflowService(const WorkflowState& state,
+                                 Transport& transport,
+                                 RandomSource& random,
+                                 Counters& counters)
+    : m_state(state),
+      m_transport(transport),
+      m_random(random),
+      m_counters(counters),
+      m_scheduler(state, m_order, m_placement),
+      m_leases(m_options.lease) {}
+
+void WorkflowService::Configure(const WorkflowOptions& options,
+                                DecisionLog& log) {
+  m_options = options;
+  m_decisions = &log;
+  m_leases.SetTerm(options.lease);
+}
+
+void WorkflowService::OnLeadershipGained(Millis now) {
+  m_links.clear();
+  m_callers.clear();
+  m_is_planning = false;
+  m_is_dirty = true;
+  m_next_plan = now;
+  m_leases.Reset(now);
+  for (const auto& [number, worker] : m_state.workers())
+    m_leases.Add(number);
+  m_scheduler.Rebuild();
+  m_decisions->Write(
+      DecisionLine("leadership_gained")
+          .With("term", static_cast<int64_t>(m_log->CurrentTerm()))
+          .With("workflows", static_cast<int64_t>(m_state.open().size()))
+          .With("directory_version",
+                static_cast<int64_t>(m_state.directory().version)));
+}
+
+void WorkflowService::OnLeadershipLost() {
+  m_decisions->Write(
+      DecisionLine("leadership_lost")
+          .With("open_calls", static_cast<int64_t>(m_callers.size())));
+  for (auto& [token, caller] : m_callers) {
+    if (caller.done) {
+      caller.done(MakeError(ErrorKind::kUnavailable,
+                            "the leader changed before the change was known "
+                            "to be committed",
+                            "send the same change again"));
+      continue;
+    }
+    WorkflowReply reply;
+    reply.call = caller.call;
+    reply.kind = WorkflowReplyKind::kUnknownResult;
+    Reply(caller.entry, std::move(reply));
+  }
+  m_callers.clear();
+  m_links.clear();
+}
+
+void WorkflowService::OnCall(const NodeId& from,
+                             const WorkflowCall& call,
+                             WorkflowBatch& next) {
+  WorkflowReply reply;
+  reply.call = call.call;
+  if (m_state.directory().version == 0) {
+    reply.kind = WorkflowReplyKind::kNoDirectory;
+    reply.retry_after = kRetryAfter;
+    Reply(from, std::move(reply));
+    return;
+  }
+  const QueueSettings* queue = m_state.FindQueue(call.host, call.path);
+  if (!queue) {
+    reply.kind = WorkflowReplyKind::kNoQueue;
+    m_decisions->Write(
+        DecisionLine("call_refused")
+            .With("workflow", KeyText(call.key))
+            .With("reason", "no_queue")
+            .With("directory_version",
+                  static_cast<int64_t>(m_state.directory().version)));
+    Reply(from, std::move(reply));
+    return;
+  }
+  switch (call.kind) {
+    case WorkflowCallKind::kShow:
+      Show(from, call);
+      return;
+    case WorkflowCallKind::kCountPending:
+      reply.kind = WorkflowReplyKind::kCounted;
+      reply.pending = m_state.CountPending(*queue);
+      Reply(from, std::move(reply));
+      return;
+    case WorkflowCallKind::kCancel:
+      next.cancellations.push_back(
+          {AddCaller({from, call.call, call.key, {}}), call.key});
+      return;
+    case WorkflowCallKind::kSubmit:
+      break;
+  }
+  if (Result<void> valid = ValidateWorkflow(call.spec); !valid) {
+    m_counters.Add("control_invalid_workflows");
+    m_decisions->Write(DecisionLine("call_refused")
+                           .With("workflow", KeyText(call.key))
+                           .With("reason", valid.error().message));
+    reply.kind = WorkflowReplyKind::kInvalid;
+    Reply(from, std::move(reply));
+    return;
+  }
+  const uint64_t token = AddCaller({from, call.call, call.key, {}});
+  next.submissions.push_back({token, call.host, call.path, call.spec});
+}
+
+void WorkflowService::Show(const NodeId& from, const WorkflowCall& call) {
+  WorkflowReply reply;
+  reply.call = call.call;
+  const WorkflowRecord* workflow = m_state.Find(call.key);
+  // A cancellation that came before its submission leaves no steps.
+  const bool is_known = workflow && !workflow->spec.steps.empty();
+  reply.kind =
+      is_known ? WorkflowReplyKind::kShown : WorkflowReplyKind::kNoWorkflow;
+  if (is_known)
+    reply.phase = workflow->phase;
+  Reply(from, std::move(reply));
+}
+
+uint64_t WorkflowService::AddCaller(Caller caller) {
+  const uint64_t token = m_random.Next();
+  m_callers.emplace(token, std::move(caller));
+  return token;
+}
+
+void WorkflowService::Reply(const NodeId& entry, WorkflowReply reply) {
+  reply.leader = m_log->Leader();
+  m_transport.Send(entry, reply);
+}
+
+void WorkflowService::RedirectCall(const NodeId& from,
+                                   const WorkflowCall& call) {
+  WorkflowReply reply;
+  reply.call = call.call;
+  reply.kind = WorkflowReplyKind::kNotLeader;
+  reply.members = MemberNodes();
+  Reply(from, std::move(reply));
+}
+
+void WorkflowService::RedirectReport(const NodeId& from) {
+  m_transport.Send(from, GroupView{m_log->Leader(), MemberNodes()});
+}
+
+std::vector<NodeId> WorkflowService::MemberNodes() const {
+  std::vector<NodeId> nodes;
+  for (const Member& member : m_log->Members())
+    nodes.push_back(member.node);
+  return nodes;
+}
+
+void WorkflowService::OnReport(const NodeId& from,
+                               const WorkerReport& report,
+                               WorkflowBatch& next,
+                               Millis now) {
+  const WorkerEntry* entry = m_state.FindWorkerOf(from);
+  const bool is_stale =
+      entry && entry->life.born_unix_ms > report.life.born_unix_ms;
+  if (is_stale || report.life.id.empty() || report.agent == 0) {
+    m_counters.Add("control_stale_reports");
+    return;
+  }
+  const bool is_registered = entry && entry->life == report.life;
+  WorkerLink& link = LinkOf(from);
+  if (!is_registered) {
+    link.OnReport(report, kNoWorkerNumber, now);
+    const bool is_proposed =
+        std::any_of(next.workers.begin(), next.workers.end(),
+                    [&](const auto& other) { return other.agent == from; });
+    if (report.is_taking && !is_proposed)
+      next.workers.push_back({from, report.life, report.offer});
+    SendOrders(link, true, now);
+    return;
+  }
+  if (!m_leases.OnReport(entry->number, now)) {
+    m_counters.Add("control_reports_while_releasing");
+    return;
+  }
+  link.OnReport(report, entry->number, now);
+  std::vector<RunEvent> events = link.TakeEvents(report);
+  if (!events.empty())
+    next.events.push_back({from, report.agent, std::move(events)});
+  if (report.has_lapsed && !m_state.RunsOf(entry->number).empty())
+    next.releases.push_back({entry->number, false});
+  OnStalls(link, report, now);
+  if (!report.is_taking && !report.has_lapsed)
+    MoveRunsAway(link);
+  SendOrders(link, true, now);
+  m_is_dirty = true;
+}
+
+void WorkflowService::OnStalls(WorkerLink& link,
+                               const WorkerReport& report,
+                               Millis now) {
+  for (const RunStall& stall : report.stalls) {
+    const WorkflowTask* task = m_state.FindTask(stall.task);
+    const bool is_current = task && task->stage == TaskStage::kActive &&
+                            task->run == stall.run &&
+                            task->worker == link.worker();
+    if (!is_current || link.IsStopping(stall.task))
+      continue;
+    m_counters.Add("control_stalled_runs");
+    m_decisions->Write(DecisionLine("run_stalled")
+                           .With("task", ToString(stall.task))
+                           .With("run", int64_t{stall.run})
+                           .With("worker", link.agent())
+                           .With("quiet_ms", stall.quiet)
+                           .With("outcome", "stop"));
+    m_scheduler.OnStall(stall.task, link.worker(), now);
+    link.AddStop(stall.task, stall.run);
+  }
+}
+
+void WorkflowService::MoveRunsAway(WorkerLink& link) {
+  // The worker leaves soon. What can resume elsewhere moves at once; other
+  // tasks may still complete in the time that is left.
+  for (const TaskName& task : m_state.RunsOf(link.worker())) {
+    const StepSpec& step = *m_state.FindStep(task);
+    if (step.has_checkpoints || step.is_lasting)
+      link.AddStop(task, m_state.FindTask(task)->run);
+  }
+}
+
+void WorkflowService::SetDirectory(QueueDirectory directory,
+                                   WorkflowBatch& next,
+                                   DirectoryDone done) {
+  if (Result<void> valid = ValidateDirectory(directory); !valid) {
+    m_counters.Add("control_invalid_directories");
+    m_decisions->Write(
+        DecisionLine("directory_refused")
+            .With("version", static_cast<int64_t>(directory.version))
+            .With("reason", valid.error().message));
+    done(valid);
+    return;
+  }
+  Caller caller;
+  caller.done = std::move(done);
+  next.configurations.push_back(
+      {AddCaller(std::move(caller)), std::move(directory)});
+}
+
+void WorkflowService::OnTick(const PlanningTime& time, WorkflowBatch& next) {
+  ReleaseExpired(time, next);
+  Plan(time, next);
+  SendDueOrders(time.now);
+}
+
+void WorkflowService::ReleaseExpired(const PlanningTime& time,
+                                     WorkflowBatch& next) {
+  for (const WorkerNumber worker : m_leases.TakeExpired(time.now)) {
+    const WorkerEntry* entry = m_state.FindWorker(worker);
+    if (!entry)
+      continue;
+    m_counters.Add("control_worker_leases_expired");
+    m_decisions->Write(
+        DecisionLine("worker_lease_expired")
+            .With("worker", entry->agent)
+            .With("life", entry->life.id)
+            .With("runs", static_cast<int64_t>(m_state.RunsOf(worker).size())));
+    next.releases.push_back({worker, true});
+  }
+}
+
+void WorkflowService::Plan(const PlanningTime& time, WorkflowBatch& next) {
+  const bool is_due = m_is_dirty || time.now >= m_next_plan;
+  if (m_is_planning || !is_due)
+    return;
+  m_is_dirty = false;
+  m_next_plan = time.now + kReplanAfter;
+  std::vector<AssignRun> plan =
+      m_scheduler.Plan(Statuses(time.now), time, kMaxPlannedRuns);
+  if (plan.empty())
+    return;
+  m_is_planning = true;
+  next.assignments = std::move(plan);
+}
+
+std::map<WorkerNumber, WorkerStatus> WorkflowService::Statuses(
+    Millis now) const {
+  std::map<WorkerNumber, WorkerStatus> statuses;
+  for (const auto& [agent, link] : m_links) {
+    const WorkerReport& report = link.last_report();
+    if (link.worker() == kNoWorkerNumber ||
+        !m_leases.IsHeard(link.worker(), now)) {
+      continue;
+    }
+    statuses[link.worker()] = {report.is_taking && !report.has_lapsed,
+                               report.filler_percent,
+                               report.filler_cpu_millicores};
+  }
+  return statuses;
+}
+
+void WorkflowService::OnEffects(const WorkflowEffects& effects, Millis now) {
+  if (effects.IsEmpty())
+    return;
+  if (effects.has_assignments)
+    m_is_planning = false;
+  m_is_dirty = true;
+  if (effects.has_new_directory) {
+    m_decisions->Write(DecisionLine("directory_changed")
+                           .With("version", static_cast<int64_t>(
+                                                m_state.directory().version)));
+  }
+  m_scheduler.OnEffects(effects, now);
+  for (const WorkerNumber worker : effects.registered)
+    OnRegistered(worker);
+  for (const WorkerNumber worker : effects.forgotten)
+    m_leases.Remove(worker);
+  for (const RunChange& change : effects.runs)
+    FollowRun(change);
+  for (const RunChange& change : effects.runs) {
+    const bool is_refusal = change.kind == RunChange::Kind::kEnded &&
+                            change.end == RunEndKind::kRefused;
+    if (is_refusal)
+      m_scheduler.OnNoRoom(change.worker, now);
+    if (change.kind == RunChange::Kind::kReleased)
+      m_leases.OnReleased(change.worker);
+  }
+  for (const WorkflowKey key : effects.ended)
+    StopWorkflow(key);
+  for (const StoredEvents& stored : effects.stored)
+    LinkOf(stored.agent).OnStored(stored);
+  for (const WorkflowAnswer& answer : effects.answers)
+    Answer(answer);
+  for (const StoredEvents& stored : effects.stored)
+    SendOrders(LinkOf(stored.agent), true, now);
+  SendDueOrders(now);
+}
+
+void WorkflowService::OnRegistered(WorkerNumber worker) {
+  m_leases.Add(worker);
+  const WorkerEntry& entry = *m_state.FindWorker(worker);
+  WorkerLink& link = LinkOf(entry.agent);
+  m_decisions->Write(DecisionLine("worker_registered")
+                         .With("worker", entry.agent)
+                         .With("life", entry.life.id)
+                         .With("service", entry.offer.service));
+  if (link.Attach(worker, entry.life))
+    m_leases.OnReport(worker, link.heard_at());
+}
+
+void WorkflowService::FollowRun(const RunChange& change) {
+  WorkerLink* link = FindLink(change.worker);
+  if (change.kind == RunChange::Kind::kAssigned) {
+    m_decisions->Write(DecisionLine("run_assigned")
+                           .With("task", ToString(change.task))
+                           .With("run", int64_t{change.run})
+                           .With("worker", link ? link->agent() : "unknown"));
+    if (link)
+      link->AddStart(change.task, change.run);
+    return;
+  }
+  m_counters.Add(change.kind == RunChange::Kind::kEnded
+                     ? "control_runs_ended"
+                     : "control_runs_released");
+  m_decisions->Write(DecisionLine("run_over")
+                         .With("task", ToString(change.task))
+                         .With("run", int64_t{change.run})
+                         .With("worker", link ? link->agent() : "unknown")
+                         .With("outcome", change.kind == RunChange::Kind::kEnded
+                                              ? ToString(change.end)
+                                              : std::string_view("released")));
+  if (link)
+    link->OnRunOver(change.task);
+}
+
+void WorkflowService::StopWorkflow(WorkflowKey key) {
+  const WorkflowRecord* workflow = m_state.Find(key);
+  if (!workflow)
+    return;
+  m_decisions->Write(DecisionLine("workflow_ended")
+                         .With("workflow", KeyText(key))
+                         .With("phase", static_cast<int64_t>(workflow->phase))
+                         .With("runs", int64_t{workflow->active}));
+  for (uint32_t k = 0; k < workflow->occurrences.size(); ++k) {
+    const auto& steps = workflow->occurrences[k].steps;
+    for (uint32_t s = 0; s < steps.size(); ++s) {
+      for (uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
+        const WorkflowTask& task = steps[s].tasks[i];
+        WorkerLink* link = FindLink(task.worker);
+        if (task.stage == TaskStage::kActive && link)
+          link->AddStop({key, k, s, i}, task.run);
+      }
+    }
+  }
+}
+
+void WorkflowService::Answer(const WorkflowAnswer& answer) {
+  const auto it = m_callers.find(answer.token);
+  if (it == m_callers.end())
+    return;
+  const Caller caller = std::move(it->second);
+  m_callers.erase(it);
+  if (caller.done) {
+    caller.done({});
+    return;
+  }
+  m_decisions->Write(DecisionLine("call_committed")
+                         .With("workflow", KeyText(caller.key))
+                         .With("entry", caller.entry)
+                         .With("outcome", static_cast<int64_t>(answer.kind)));
+  WorkflowReply reply;
+  reply.call = caller.call;
+  reply.kind = answer.kind;
+  if (reply.kind == WorkflowReplyKind::kRefused)
+    reply.retry_after = kRetryAfter;
+  Reply(caller.entry, std::move(reply));
+}
+
+void WorkflowService::SendDueOrders(Millis now) {
+  for (auto& [agent, link] : m_links) {
+    const bool is_due = link.worker() != kNoWorkerNumber &&
+                        m_leases.IsHeard(link.worker(), now) &&
+                        link.HasDueOrders(now);
+    if (is_due)
+      SendOrders(link, false, now);
+  }
+}
+
+void WorkflowService::SendOrders(WorkerLink& link, bool is_reply, Millis now) {
+  const bool may_extend = link.worker() != kNoWorkerNumber;
+  if (!link.has_report() || (!may_extend && !is_reply))
+    return;
+  WorkerOrders orders = link.TakeOrders(
+      m_log->CurrentTerm(), may_extend ? m_options.lease : Millis(0), now);
+  orders.members = MemberNodes();
+  m_transport.Send(link.agent(), orders);
+}
+
+WorkerLink& WorkflowService::LinkOf(const NodeId& agent) {
+  return m_links.try_emplace(agent, agent, m_state).first->second;
+}
+
+WorkerLink* WorkflowService::FindLink(WorkerNumber worker) {
+  const WorkerEntry* entry = m_state.FindWorker(worker);
+  if (!entry)
+    return nullptr;
+  WorkerLink& link = LinkOf(entry->agent);
+  return link.worker() == worker ? &link : nullptr;
+}
+
+std::string WorkflowService::DumpState(Millis now) const {
+  nlohmann::json workers = nlohmann::json::array();
+  for (const auto& [number, entry] : m_state.workers()) {
+    const WorkerRoom* room = m_scheduler.RoomOf(number);
+    workers.push_back(
+        {{"worker", entry.agent},
+         {"life", entry.life.id},
+         {"runs", m_state.RunsOf(number).size()},
+         {"is_heard", m_leases.IsHeard(number, now)},
+         {"is_usable", m_scheduler.health().IsUsable(number, now)},
+         {"free_cpu_millicores", room ? room->free_cpu() : 0}});
+  }
+  return nlohmann::json{{"directory_version", m_state.directory().version},
+                        {"open_workflows", m_state.open().size()},
+                        {"blocked_steps", m_scheduler.blocked_steps()},
+                        {"workers", std::move(workers)}}
+      .dump();
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/control/workflow_service.h
@@ -0,0 +1,125 @@
+#ifndef SOURCE_CONTROL_WORKFLOW_SERVICE_H_
+#define SOURCE_CONTROL_WORKFLOW_SERVICE_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "source/base/counters.h"
+#include "source/base/decision_log.h"
+#include "source/base/error.h"
+#include "source/base/random_source.h"
+#include "source/consensus/replicated_log.h"
+#include "source/control/worker_link.h"
+#include "source/message/transport.h"
+#include "source/workflow/worker_leases.h"
+#include "source/workflow/workflow_scheduler.h"
+#include "source/workflow/workflow_state.h"
+
+namespace fulmarrock {
+
+/// Settings of the leader's handling of workflows.
+struct WorkflowOptions {
+  /// Time for which an agent may keep its worker running without news.
+  Millis lease{15'000};
+};
+
+/// The leader's handling of workflows: turns calls and reports into commands,
+/// plans runs, and tells agents and entries what was committed.
+class WorkflowService {
+ public:
+  using DirectoryDone = std::function<void(const Result<void>&)>;
+
+  /// The references outlive the service.
+  WorkflowService(const WorkflowState& state,
+                  Transport& transport,
+                  RandomSource& random,
+                  Counters& counters);
+
+  /// Replaces the default options and the log that drops everything.
+  void Configure(const WorkflowOptions& options, DecisionLog& log);
+  void AttachLog(const ReplicatedLog& log) { m_log = &log; }
+
+  void OnLeadershipGained(Millis now);
+  void OnLeadershipLost();
+
+  /// Takes a caller's call; answered now or when it is committed.
+  void OnCall(const NodeId& from,
+              const WorkflowCall& call,
+              WorkflowBatch& next);
+
+  void OnReport(const NodeId& from,
+                const WorkerReport& report,
+                WorkflowBatch& next,
+                Millis now);
+
+  /// Sets the queues and services. `done` hears of the commit, or why not.
+  void SetDirectory(QueueDirectory directory,
+                    WorkflowBatch& next,
+                    DirectoryDone done);
+
+  /// Releases what expired and plans runs.
+  void OnTick(const PlanningTime& time, WorkflowBatch& next);
+
+  void OnEffects(const WorkflowEffects& effects, Millis now);
+
+  /// Answers that this member does not lead.
+  void RedirectCall(const NodeId& from, const WorkflowCall& call);
+  void RedirectReport(const NodeId& from);
+
+  /// Returns the leader's view as JSON, for a person.
+  std::string DumpState(Millis now) const;
+
+ private:
+  struct Caller {
+    NodeId entry;
+    uint64_t call = 0;
+    WorkflowKey key = 0;
+    DirectoryDone done;
+  };
+
+  void Reply(const NodeId& entry, WorkflowReply reply);
+  void Show(const NodeId& from, const WorkflowCall& call);
+  uint64_t AddCaller(Caller caller);
+  void Answer(const WorkflowAnswer& answer);
+  void OnRegistered(WorkerNumber worker);
+  void FollowRun(const RunChange& change);
+  void StopWorkflow(WorkflowKey key);
+  void MoveRunsAway(WorkerLink& link);
+  void OnStalls(WorkerLink& link, const WorkerReport& report, Millis now);
+  void ReleaseExpired(const PlanningTime& time, WorkflowBatch& next);
+  void Plan(const PlanningTime& time, WorkflowBatch& next);
+  std::map<WorkerNumber, WorkerStatus> Statuses(Millis now) const;
+  void SendOrders(WorkerLink& link, bool is_reply, Millis now);
+  void SendDueOrders(Millis now);
+  WorkerLink& LinkOf(const NodeId& agent);
+  WorkerLink* FindLink(WorkerNumber worker);
+  std::vector<NodeId> MemberNodes() const;
+
+  const WorkflowState& m_state;
+  Transport& m_transport;
+  RandomSource& m_random;
+  Counters& m_counters;
+  WorkflowOptions m_options;
+  NullDecisionLog m_no_log;
+  DecisionLog* m_decisions = &m_no_log;
+  const ReplicatedLog* m_log = nullptr;
+
+  ObjectiveOrder m_order;
+  SharedRunPlacement m_placement;
+  WorkflowScheduler m_scheduler;
+  WorkerLeases m_leases;
+  std::map<NodeId, WorkerLink> m_links;
+  std::unordered_map<uint64_t, Caller> m_callers;
+  // Whether planned runs are on the way into the log.
+  bool m_is_planning = false;
+  // Whether something changed since the last plan.
+  bool m_is_dirty = false;
+  Millis m_next_plan;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_CONTROL_WORKFLOW_SERVICE_H_
--- a/source/daemon/control_host.cc
+++ b/source/daemon/control_host.cc
@@ -1,10 +1,12 @@
 #include "source/daemon/control_host.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
 #include "source/base/seeded_random.h"
 #include "source/base/steady_clock.h"
+#include "source/base/wall_clock.h"
 #include "source/control/control_member.h"
 #include "source/storage/file_storage.h"
 
@@ -23,7 +25,23 @@
                  RequestQuery, RequestQueryReply, ClaimReply, ClaimOutcomeAck,
                  ResponseFetch, ResponseFetchReply, WorkerAnnounceAck,
                  LeaseRenewReply, GrantBatch, StopBatch, TaskEventsAck,
-                 ConfigDelta, ConfigCopy>(message);
+                 ConfigDelta, ConfigCopy, WorkflowReply, WorkerOrders>(message);
+}
+
+std::vector<NodeId> NodesOf(const std::vector<PeerSettings>& peers) {
+  std::vector<NodeId> nodes;
+  for (const PeerSettings& peer : peers)
+    nodes.push_back(peer.node);
+  return nodes;
+}
+
+/// The founders at a founder, and nobody at a member that is taken in later.
+std::vector<NodeId> FindFounders(const Settings& settings) {
+  std::vector<NodeId> nodes = NodesOf(settings.control_members);
+  const bool is_founder =
+      settings.founds_group &&
+      std::find(nodes.begin(), nodes.end(), settings.node) != nodes.end();
+  return is_founder ? nodes : std::vector<NodeId>();
 }
 
 }  // namespace
@@ -31,6 +49,7 @@
 /// Everything that exists between Start() and Stop(), on the control thread.
 struct ControlHost::State {
   SteadyClock clock;
+  SystemWallClock wall_clock;
   SeededRandom random = SeededRandom::FromSystemEntropy();
   std::unique_ptr<Storage> storage;
   std::unique_ptr<ControlMember> member;
@@ -39,8 +58,12 @@
 
 ControlHost::ControlHost(EventLoop& loop,
                          const Settings& settings,
-                         Transport& transport)
-    : m_loop(loop), m_settings(settings), m_transport(loop, transport) {
+                         Transport& transport,
+                         DecisionLog& decisions)
+    : m_loop(loop),
+      m_settings(settings),
+      m_transport(loop, transport),
+      m_decisions(decisions) {
   m_thread.RunAndWait(
       [this] { m_thread.loop().AddTicker([this] { OnTick(); }); });
 }
@@ -65,13 +88,25 @@
   state->storage = std::move(*storage);
   ConsensusOptions options;
   options.node = m_settings.node;
-  for (const PeerSettings& member : m_settings.control_members)
-    options.initial_members.push_back(member.node);
+  options.initial_members = FindFounders(m_settings);
+  options.heartbeat = m_settings.consensus.heartbeat;
+  options.election_timeout_min = m_settings.consensus.election_timeout_min;
+  options.election_timeout_max = m_settings.consensus.election_timeout_max;
   Result<std::unique_ptr<ControlMember>> member = ControlMember::Open(
       options, {state->clock, m_transport, state->random, *state->storage});
   if (!member)
     return tl::make_unexpected(member.error());
   state->member = std::move(*member);
+  ControlRole& role = state->member->role();
+  WorkflowOptions workflow;
+  if (m_settings.workflow)
+    workflow.lease = m_settings.workflow->lease;
+  role.ConfigureWorkflows(workflow, state->wall_clock, m_decisions);
+  if (m_settings.finds_members) {
+    role.KeepGroup(std::make_unique<GroupKeeper>(
+        m_settings.node, NodesOf(m_settings.control_members), state->clock,
+        m_transport, state->member->consensus(), m_decisions));
+  }
   m_state = std::move(state);
   return {};
 }
@@ -101,6 +136,13 @@
   m_loop.Post([this, error = *failure] { ReportFailure(error); });
 }
 
+void ControlHost::AddContacts(const std::vector<NodeId>& nodes) {
+  m_thread.loop().Post([this, nodes] {
+    if (m_state && m_state->member->role().keeper())
+      m_state->member->role().keeper()->AddContacts(nodes);
+  });
+}
+
 void ControlHost::BeginShutdown() {
   m_thread.loop().Post([this] {
     if (m_state)
--- a/source/daemon/control_host.h
+++ b/source/daemon/control_host.h
@@ -5,7 +5,9 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
+#include "source/base/decision_log.h"
 #include "source/config/settings.h"
 #include "source/control/operator_service.h"
 #include "source/daemon/posting_transport.h"
@@ -21,7 +23,10 @@
  public:
   /// `loop` is the transport's. Failures of the consensus member are reported
   /// once, on that loop.
-  ControlHost(EventLoop& loop, const Settings& settings, Transport& transport);
+  ControlHost(EventLoop& loop,
+              const Settings& settings,
+              Transport& transport,
+              DecisionLog& decisions);
   ~ControlHost() override;
 
   std::string Name() const override { return "control"; }
@@ -33,6 +38,9 @@
   /// Hands a message to the role if it concerns control.
   void Deliver(const NodeId& from, const Message& message);
 
+  /// Adds nodes where the group may be found.
+  void AddContacts(const std::vector<NodeId>& nodes);
+
   void BeginShutdown();
   bool IsDrained() const { return m_is_drained; }
 
@@ -54,6 +62,7 @@
   EventLoop& m_loop;
   const Settings m_settings;
   PostingTransport m_transport;
+  DecisionLog& m_decisions;
   std::atomic<bool> m_is_drained{false};
   std::unique_ptr<State> m_state;
   // Last, so that its thread ends before the state is destroyed.
--- a/source/daemon/daemon.cc
+++ b/source/daemon/daemon.cc
@@ -1,7 +1,9 @@
 #include "source/daemon/daemon.h"
 
 #include <easylogging++.h>
+#include <unistd.h>
 
+#include <charconv>
 #include <map>
 #include <utility>
 #include <vector>
@@ -21,6 +23,11 @@
         options.peers[peer.node] = peer.peer_address;
     }
   }
+  if (settings.finds_members) {
+    const std::string& address = settings.peer_listen;
+    std::from_chars(address.data() + address.rfind(':') + 1,
+                    address.data() + address.size(), options.default_port);
+  }
   return options;
 }
 
@@ -46,9 +53,14 @@
 
 }  // namespace
 
-Daemon::Daemon(const Settings& settings)
+Daemon::Daemon(const Settings& settings, std::string settings_path)
     : m_settings(settings),
-      m_signals(m_loop, [this] { OnStopSignal(); }),
+      m_settings_path(std::move(settings_path)),
+      m_decisions(settings.node, DecisionLogLimits{}, STDOUT_FILENO),
+      m_signals(
+          m_loop,
+          [this] { OnStopSignal(); },
+          [this] { Reload(); }),
       m_server(m_loop, MakeServerOptions(settings)),
       m_diagnostics(m_loop, m_server),
       m_transport(m_loop,
@@ -70,8 +82,13 @@
   }
   LOG(INFO) << m_settings.node << " accepts messages on "
             << m_transport.address() << " and HTTP on " << m_server.address();
+  m_decisions.Write(DecisionLine("process_started")
+                        .With("messages_at", m_transport.address())
+                        .With("diagnostics_at", m_server.address()));
   m_loop.Run();
   m_supervisor.Stop();
+  m_decisions.Write(
+      DecisionLine("process_stopped").With("exit_code", int64_t{m_exit_code}));
   LOG(INFO) << m_settings.node << " stopped";
   return m_exit_code;
 }
@@ -81,8 +98,8 @@
       "transport", [this] { return m_transport.Start(); },
       [this] { m_transport.Stop(); }));
   if (m_settings.runs_control) {
-    auto control =
-        std::make_unique<ControlHost>(m_loop, m_settings, m_transport);
+    auto control = std::make_unique<ControlHost>(m_loop, m_settings,
+                                                 m_transport, m_decisions);
     m_control = control.get();
     m_supervisor.Add(std::move(control));
     // A failed disk or a damaged log needs a person. Starting again by itself
@@ -98,10 +115,26 @@
   m_supervisor.Add(std::make_unique<FunctionComponent>(
       "http", [this] { return m_server.Start(); },
       [this] { m_server.Stop(); }));
+  if (m_settings.workflow) {
+    m_supervisor.Add(std::make_unique<FunctionComponent>(
+        "workflow interfaces", [this] { return m_workflows->Start(); },
+        [this] { m_workflows->Stop(); }));
+  }
 }
 
 Result<void> Daemon::StartRoles() {
-  if (m_settings.runs_entry) {
+  if (m_settings.workflow) {
+    m_workflows = std::make_unique<WorkflowHost>(
+        m_loop, m_settings, m_clock, m_transport, m_random, m_decisions);
+    if (m_control) {
+      m_workflows->ServeOperators(m_control->service(),
+                                  m_control->service_loop());
+    }
+  }
+  // Without entries in the settings there are no targets to send requests to.
+  const bool serves_requests =
+      !m_settings.workflow || m_settings.target || !m_settings.entries.empty();
+  if (m_settings.runs_entry && serves_requests) {
     m_callers = std::make_unique<CallerFrontEnd>(m_clock, m_server);
     EntryOptions options;
     options.id = m_settings.node;
@@ -115,7 +148,7 @@
       return m_entry->Submit(std::move(request));
     });
   }
-  if (m_settings.runs_agent) {
+  if (m_settings.target || m_settings.worker) {
     m_agent =
         std::make_unique<AgentHost>(m_loop, m_settings, m_transport.address(),
                                     m_clock, m_transport, m_random);
@@ -150,6 +183,8 @@
   }
   if (m_agent)
     m_agent->AddDiagnostics(m_diagnostics);
+  if (m_workflows)
+    m_workflows->AddDiagnostics(m_diagnostics);
   if (m_control) {
     m_control->AddDiagnostics(m_diagnostics);
     m_diagnostics.AddCounters("operators", m_control->service_loop(),
@@ -162,6 +197,8 @@
     m_entry->OnMessage(from, message);
   if (m_agent)
     m_agent->role().OnMessage(from, message);
+  if (m_workflows)
+    m_workflows->OnMessage(from, message);
   if (m_control)
     m_control->Deliver(from, message);
 }
@@ -171,6 +208,8 @@
     m_entry->OnTick();
   if (m_agent)
     m_agent->role().OnTick();
+  if (m_workflows)
+    m_workflows->OnTick();
   if (m_phase == StopPhase::kNone)
     return;
   if (m_clock.Now() >= m_stop_limit) {
@@ -196,10 +235,35 @@
   Finish(1);
 }
 
+void Daemon::Reload() {
+  const Result<std::string> text = ReadTextFile(m_settings_path);
+  const Result<Settings> settings =
+      text ? ParseSettings(*text)
+           : Result<Settings>(tl::make_unexpected(text.error()));
+  if (!settings) {
+    m_decisions.Write(DecisionLine("settings_reload")
+                          .With("outcome", settings.error().Describe()));
+    return;
+  }
+  m_decisions.Write(
+      DecisionLine("settings_reload")
+          .With("control_members",
+                static_cast<int64_t>(settings->control_members.size()))
+          .With("outcome", "taken"));
+  std::vector<NodeId> members;
+  for (const PeerSettings& peer : settings->control_members)
+    members.push_back(peer.node);
+  if (m_workflows)
+    m_workflows->AddMembers(members);
+  if (m_control)
+    m_control->AddContacts(members);
+}
+
 void Daemon::BeginStop(const std::string& reason) {
   if (m_phase != StopPhase::kNone)
     return;
   LOG(INFO) << "planned stop begins: " << reason;
+  m_decisions.Write(DecisionLine("process_stopping").With("reason", reason));
   m_diagnostics.SetStopping();
   m_stop_limit = m_clock.Now() + m_settings.shutdown_limit;
   EnterPhase(StopPhase::kEntry);
@@ -209,8 +273,12 @@
   m_phase = phase;
   if (phase == StopPhase::kEntry && m_entry)
     m_entry->BeginShutdown();
+  if (phase == StopPhase::kEntry && m_workflows)
+    m_workflows->BeginEntryShutdown();
   if (phase == StopPhase::kAgent && m_agent)
     m_agent->role().BeginShutdown();
+  if (phase == StopPhase::kAgent && m_workflows)
+    m_workflows->BeginAgentShutdown();
   if (phase == StopPhase::kControl && m_control)
     m_control->BeginShutdown();
   // Callers on open connections still get their answers.
@@ -223,13 +291,16 @@
     case StopPhase::kNone:
       return false;
     case StopPhase::kEntry:
-      return !m_entry || m_entry->IsDrained();
+      return (!m_entry || m_entry->IsDrained()) &&
+             (!m_workflows || m_workflows->IsEntryDrained());
     case StopPhase::kAgent:
-      return !m_agent || m_agent->role().IsDrained();
+      return (!m_agent || m_agent->role().IsDrained()) &&
+             (!m_workflows || m_workflows->IsAgentDrained());
     case StopPhase::kControl:
       return !m_control || m_control->IsDrained();
     case StopPhase::kReplies:
-      return m_server.open_calls() == 0;
+      return m_server.open_calls() == 0 &&
+             (!m_workflows || !m_workflows->HasOpenCalls());
   }
   return true;
 }
--- a/source/daemon/daemon.h
+++ b/source/daemon/daemon.h
@@ -10,6 +10,7 @@
 #include "source/config/settings.h"
 #include "source/daemon/agent_host.h"
 #include "source/daemon/control_host.h"
+#include "source/daemon/workflow_host.h"
 #include "source/entry/entry_role.h"
 #include "source/net/caller_front_end.h"
 #include "source/net/diagnostics_front_end.h"
@@ -18,6 +19,7 @@
 #include "source/net/http_server.h"
 #include "source/net/operator_front_end.h"
 #include "source/net/signal_watcher.h"
+#include "source/net/stdout_decision_log.h"
 #include "source/net/supervisor.h"
 
 namespace fulmarrock {
@@ -25,7 +27,9 @@
 /// One process of the system with the roles of its settings.
 class Daemon {
  public:
-  explicit Daemon(const Settings& settings);
+  /// The settings are read again from `settings_path` on SIGHUP; only addresses
+  /// of control members are taken from them while the process runs.
+  Daemon(const Settings& settings, std::string settings_path);
 
   /// Runs until a planned stop is complete. Returns 0 after a complete stop,
   /// and 1 when the start failed, a component failed for good, the stop took
@@ -44,13 +48,16 @@
   void OnMessage(const NodeId& from, const Message& message);
   void OnTick();
   void OnStopSignal();
+  void Reload();
   void BeginStop(const std::string& reason);
   void EnterPhase(StopPhase phase);
   bool IsPhaseDone() const;
   void Finish(int exit_code);
 
   const Settings m_settings;
+  const std::string m_settings_path;
   SteadyClock m_clock;
+  StdoutDecisionLog m_decisions;
   SeededRandom m_random = SeededRandom::FromSystemEntropy();
   EventLoop m_loop;
   // Blocks the signals before other threads exist.
@@ -61,6 +68,7 @@
   std::unique_ptr<CallerFrontEnd> m_callers;
   std::unique_ptr<EntryRole> m_entry;
   std::unique_ptr<AgentHost> m_agent;
+  std::unique_ptr<WorkflowHost> m_workflows;
   std::unique_ptr<OperatorFrontEnd> m_operators;
   // Owned by the supervisor.
   ControlHost* m_control = nullptr;
--- a/source/daemon/main.cc
+++ b/source/daemon/main.cc
@@ -54,5 +54,6 @@
       fulmarrock::SetUpLogging(settings->log_file, settings->log_debug);
   if (!logging)
     return Fail(logging.error());
-  return fulmarrock::Daemon(*settings).Run();
+  return fulmarrock::Daemon(*settings, values["settings"].as<std::string>())
+      .Run();
 }
--- /dev/null
+++ b/source/daemon/workflow_host.cc
@@ -0,0 +1,152 @@
+#include "source/daemon/workflow_host.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "platform/caller_port.h"
+#include "platform/operator_port.h"
+#include "platform/worker_port.h"
+
+namespace fulmarrock {
+namespace {
+
+std::vector<NodeId> NodesOf(const std::vector<PeerSettings>& peers) {
+  std::vector<NodeId> nodes;
+  for (const PeerSettings& peer : peers)
+    nodes.push_back(peer.node);
+  return nodes;
+}
+
+}  // namespace
+
+WorkflowHost::WorkflowHost(EventLoop& loop,
+                           const Settings& settings,
+                           const Clock& clock,
+                           Transport& transport,
+                           RandomSource& random,
+                           DecisionLog& decisions)
+    : m_loop(loop), m_settings(*settings.workflow) {
+  if (settings.runs_entry) {
+    WorkflowGatewayOptions options;
+    options.id = settings.node;
+    options.control_members = NodesOf(settings.control_members);
+    m_gateway = std::make_unique<WorkflowGateway>(std::move(options), clock,
+                                                  transport, random, decisions);
+    if (!m_settings.caller_listen.empty()) {
+      m_caller_server = &AddServer(m_settings.caller_listen);
+      platform::ServeCallers(*m_gateway, *m_caller_server);
+    }
+    if (!m_settings.ready_listen.empty())
+      platform::ServeReadiness(*m_gateway, AddServer(m_settings.ready_listen));
+  }
+  if (settings.runs_agent) {
+    WorkflowRunnerOptions options;
+    options.id = settings.node;
+    options.incarnation = random.Next() | 1;
+    options.control_members = NodesOf(settings.control_members);
+    options.longest_lease_step = m_settings.longest_lease_step;
+    options.stop_limit = m_settings.stop_limit;
+    m_client = std::make_unique<platform::HttpRunClient>(loop, decisions);
+    m_runner = std::make_unique<WorkflowRunner>(
+        std::move(options), clock, transport, *m_client,
+        std::make_unique<LatencyGuidedPace>(), decisions);
+    if (!m_settings.worker_listen.empty())
+      platform::ServeWorker(*m_runner, AddServer(m_settings.worker_listen));
+  }
+}
+
+void WorkflowHost::ServeOperators(OperatorService& service,
+                                  EventLoop& service_loop) {
+  const std::string& address = m_settings.operator_listen;
+  if (address.empty())
+    return;
+  platform::ServeOperator(service, service_loop,
+                          address.substr(address.rfind(':') + 1),
+                          AddServer(address));
+}
+
+HttpServer& WorkflowHost::AddServer(const std::string& address) {
+  HttpServerOptions options;
+  options.address = address;
+  m_servers.push_back(std::make_unique<HttpServer>(m_loop, options));
+  return *m_servers.back();
+}
+
+Result<void> WorkflowHost::Start() {
+  for (const auto& server : m_servers) {
+    if (Result<void> result = server->Start(); !result)
+      return result;
+  }
+  return {};
+}
+
+void WorkflowHost::Stop() {
+  for (const auto& server : m_servers)
+    server->Stop();
+}
+
+void WorkflowHost::OnMessage(const NodeId& from, const Message& message) {
+  if (m_gateway)
+    m_gateway->OnMessage(from, message);
+  if (m_runner)
+    m_runner->OnMessage(from, message);
+}
+
+void WorkflowHost::OnTick() {
+  if (m_gateway)
+    m_gateway->OnTick();
+  if (m_runner)
+    m_runner->OnTick();
+}
+
+void WorkflowHost::BeginEntryShutdown() {
+  if (!m_gateway)
+    return;
+  m_gateway->BeginShutdown();
+  // Callers come back on a new connection, which the balancer sends elsewhere.
+  if (m_caller_server)
+    m_caller_server->CloseAfterAnswers();
+}
+
+bool WorkflowHost::IsEntryDrained() const {
+  return !m_gateway || m_gateway->IsDrained();
+}
+
+void WorkflowHost::BeginAgentShutdown() {
+  if (m_runner)
+    m_runner->BeginShutdown();
+}
+
+bool WorkflowHost::IsAgentDrained() const {
+  return !m_runner || m_runner->IsDrained();
+}
+
+bool WorkflowHost::HasOpenCalls() const {
+  return std::any_of(
+      m_servers.begin(), m_servers.end(),
+      [](const auto& server) { return server->open_calls() > 0; });
+}
+
+void WorkflowHost::AddMembers(const std::vector<NodeId>& members) {
+  if (m_gateway)
+    m_gateway->AddMembers(members);
+  if (m_runner)
+    m_runner->AddMembers(members);
+}
+
+void WorkflowHost::AddDiagnostics(DiagnosticsFrontEnd& diagnostics) {
+  if (m_gateway) {
+    diagnostics.AddState("gateway", m_loop,
+                         [this] { return m_gateway->DumpState(); });
+    diagnostics.AddCounters("gateway", m_loop, m_gateway->counters());
+  }
+  if (m_runner) {
+    diagnostics.AddState("runner", m_loop,
+                         [this] { return m_runner->DumpState(); });
+    diagnostics.AddCounters("runner", m_loop, m_runner->counters());
+  }
+  if (m_caller_server)
+    diagnostics.AddCounters("callers", m_loop, m_caller_server->counters());
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/daemon/workflow_host.h
@@ -0,0 +1,70 @@
+#ifndef SOURCE_DAEMON_WORKFLOW_HOST_H_
+#define SOURCE_DAEMON_WORKFLOW_HOST_H_
+
+#include <memory>
+#include <vector>
+
+#include "platform/http_run_client.h"
+#include "source/agent/workflow_runner.h"
+#include "source/base/clock.h"
+#include "source/base/decision_log.h"
+#include "source/base/random_source.h"
+#include "source/config/settings.h"
+#include "source/control/operator_service.h"
+#include "source/entry/workflow_gateway.h"
+#include "source/message/transport.h"
+#include "source/net/diagnostics_front_end.h"
+#include "source/net/http_server.h"
+
+namespace fulmarrock {
+
+/// The parts of a process that serve workflows outside control, with their
+/// interfaces: an entry's gateway, an agent's runner, and the HTTP servers of
+/// all roles.
+class WorkflowHost {
+ public:
+  /// The references outlive the host.
+  WorkflowHost(EventLoop& loop,
+               const Settings& settings,
+               const Clock& clock,
+               Transport& transport,
+               RandomSource& random,
+               DecisionLog& decisions);
+
+  /// Serves the operators' interface of a control member.
+  void ServeOperators(OperatorService& service, EventLoop& service_loop);
+
+  Result<void> Start();
+  void Stop();
+
+  void OnMessage(const NodeId& from, const Message& message);
+  void OnTick();
+
+  /// Starts the planned stop of the entry's part.
+  void BeginEntryShutdown();
+  bool IsEntryDrained() const;
+  void BeginAgentShutdown();
+  bool IsAgentDrained() const;
+  /// Whether every request that was read has been answered.
+  bool HasOpenCalls() const;
+
+  /// Adds nodes where the control group may be found.
+  void AddMembers(const std::vector<NodeId>& members);
+
+  void AddDiagnostics(DiagnosticsFrontEnd& diagnostics);
+
+ private:
+  HttpServer& AddServer(const std::string& address);
+
+  EventLoop& m_loop;
+  const WorkflowSettings m_settings;
+  std::vector<std::unique_ptr<HttpServer>> m_servers;
+  HttpServer* m_caller_server = nullptr;
+  std::unique_ptr<WorkflowGateway> m_gateway;
+  std::unique_ptr<platform::HttpRunClient> m_client;
+  std::unique_ptr<WorkflowRunner> m_runner;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_DAEMON_WORKFLOW_HOST_H_
--- a/source/message/message.cc
+++ b/source/message/message.cc
@@ -16,7 +16,9 @@
     "UsageReport",     "ConfigPoll",        "ConfigDelta",
     "ConfigCopy",      "ConfigAck",         "VoteRequest",
     "VoteReply",       "AppendRequest",     "AppendReply",
-    "SnapshotChunk",   "SnapshotAck"};
+    "SnapshotChunk",   "SnapshotAck",       "WorkflowCall",
+    "WorkflowReply",   "WorkerReport",      "WorkerOrders",
+    "JoinRequest",     "GroupView"};
 
 }  // namespace
 
--- a/source/message/message.h
+++ b/source/message/message.h
@@ -8,6 +8,7 @@
 #include "source/message/consensus_messages.h"
 #include "source/message/request_messages.h"
 #include "source/message/task_messages.h"
+#include "source/message/workflow_messages.h"
 
 namespace fulmarrock {
 
@@ -44,7 +45,13 @@
                              AppendRequest,
                              AppendReply,
                              SnapshotChunk,
-                             SnapshotAck>;
+                             SnapshotAck,
+                             WorkflowCall,
+                             WorkflowReply,
+                             WorkerReport,
+                             WorkerOrders,
+                             JoinRequest,
+                             GroupView>;
 
 /// Returns the type name of a message, for counters and traces.
 std::string_view MessageName(const Message& message);
--- /dev/null
+++ b/source/message/workflow.h
@@ -0,0 +1,249 @@
+#ifndef SOURCE_MESSAGE_WORKFLOW_H_
+#define SOURCE_MESSAGE_WORKFLOW_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "source/base/ids.h"
+#include "source/base/millis.h"
+#include "source/base/resources.h"
+
+namespace fulmarrock {
+
+/// Name that a caller gives to a workflow; a repeat under the same key is the
+/// same workflow.
+using WorkflowKey = uint64_t;
+
+/// One task of a workflow.
+struct TaskName {
+  WorkflowKey workflow = 0;
+  /// Number of the repetition, from zero.
+  uint32_t occurrence = 0;
+  uint32_t step = 0;
+  uint32_t index = 0;
+
+  auto operator<=>(const TaskName&) const = default;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.workflow, self.occurrence, self.step, self.index);
+  }
+};
+
+/// Returns a task's name as "KEY/OCCURRENCE/STEP/INDEX", the key in
+/// hexadecimal.
+std::string ToString(const TaskName& name);
+
+/// Returns a workflow's key as 16 hexadecimal digits.
+std::string KeyText(WorkflowKey key);
+
+/// Number of a task's start. It rises for as long as the task exists, across
+/// workers and leaders.
+using RunNumber = uint32_t;
+
+/// A set of equal tasks of a workflow.
+struct StepSpec {
+  uint32_t count = 1;
+  int64_t cpu_millicores = 0;
+  int64_t memory_mib = 0;
+  int64_t accelerators = 0;
+  /// Rough duration of one task.
+  Millis estimate;
+  /// Steps, by position, whose tasks must all have completed first.
+  std::vector<uint32_t> depends_on;
+  /// Whether tasks save their progress and can resume from it.
+  bool has_checkpoints = false;
+  /// Whether the tasks run only all together.
+  bool is_gang = false;
+  /// Whether the tasks slow down when they run on more than one rack.
+  bool is_rack_bound = false;
+  /// Whether copies of a task may run in parallel.
+  bool is_speculative = false;
+  /// Whether tasks run until the workflow is cancelled.
+  bool is_lasting = false;
+  /// Whether tasks use only the processor time that others leave over, so that
+  /// their processors do not count against a worker's capacity.
+  bool is_filler = false;
+  /// Label that a worker must have, or empty.
+  std::string required_label;
+  /// Rack that holds the data, or empty.
+  std::string data_rack;
+  /// Most tasks of one occurrence on one worker; zero for no limit.
+  uint32_t max_per_worker = 0;
+  /// Name of what the tasks run; tasks of one image behave alike.
+  std::string image;
+  /// Objective for the tail latency of a task that serves; zero for none.
+  Millis latency_target;
+  /// Most tasks that the system's own actions may make unavailable at a time;
+  /// negative for no limit.
+  int32_t max_unavailable = -1;
+
+  Resources resources() const {
+    return {cpu_millicores, memory_mib, accelerators};
+  }
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.count, self.cpu_millicores, self.memory_mib, self.accelerators,
+            self.estimate, self.depends_on, self.has_checkpoints, self.is_gang,
+            self.is_rack_bound, self.is_speculative, self.is_lasting,
+            self.is_filler, self.required_label, self.data_rack,
+            self.max_per_worker, self.image, self.latency_target,
+            self.max_unavailable);
+  }
+};
+
+/// What a caller asks to run.
+struct WorkflowSpec {
+  WorkflowKey key = 0;
+  /// Handed to the worker with every task.
+  std::string payload;
+  std::vector<StepSpec> steps;
+  /// Number of repetitions; zero for a workflow that runs once, at once.
+  uint32_t repeat_count = 0;
+  /// When the first repetition is due, in milliseconds since 1970.
+  int64_t first_due_unix_ms = 0;
+  Millis interval;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.key, self.payload, self.steps, self.repeat_count,
+            self.first_due_unix_ms, self.interval);
+  }
+};
+
+/// A queue of workflows, found by the host and the path of a call.
+struct QueueSettings {
+  std::string name;
+  std::string host;
+  std::string path_prefix;
+  std::string service;
+  /// Zero comes first.
+  int64_t priority = 0;
+  /// Runs of a task that may fail before its workflow fails.
+  uint32_t max_attempts = 1;
+  /// Objective of a workflow: its longest chain of work times this factor, and
+  /// the target duration more.
+  double slack_factor = 1.0;
+  Millis target_duration;
+  Millis timeout;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.name, self.host, self.path_prefix, self.service, self.priority,
+            self.max_attempts, self.slack_factor, self.target_duration,
+            self.timeout);
+  }
+};
+
+/// A pool of workers.
+struct ServiceSettings {
+  std::string name;
+  /// Whether workers refuse what does not fit.
+  bool is_guarded = true;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.name, self.is_guarded);
+  }
+};
+
+/// One version of the queues and services, as operators set it.
+struct QueueDirectory {
+  uint64_t version = 0;
+  std::vector<QueueSettings> queues;
+  std::vector<ServiceSettings> services;
+  /// The text that the operator sent, returned unchanged when it is read.
+  std::string document;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.version, self.queues, self.services, self.document);
+  }
+};
+
+/// State of a workflow as its caller sees it.
+enum class WorkflowPhase : uint8_t {
+  kQueued,
+  kRunning,
+  kCompleted,
+  kFailed,
+  kCancelled,
+};
+constexpr WorkflowPhase MaxValue(WorkflowPhase) {
+  return WorkflowPhase::kCancelled;
+}
+constexpr bool IsFinal(WorkflowPhase phase) {
+  return phase >= WorkflowPhase::kCompleted;
+}
+
+/// How a run ended at its worker.
+enum class RunEndKind : uint8_t {
+  kDone,
+  kFailed,    ///< By its own fault or the worker's.
+  kStopped,   ///< On an order.
+  kLapsed,    ///< The worker's lease expired.
+  kBroken,    ///< Another member of its gang ended.
+  kAlone,     ///< The other members of its gang did not arrive.
+  kRefused,   ///< It never started and never will.
+  kDeclined,  ///< As kRefused, by a worker that takes no runs for now.
+};
+constexpr RunEndKind MaxValue(RunEndKind) {
+  return RunEndKind::kDeclined;
+}
+
+/// Returns the name of an end, for logs.
+std::string_view ToString(RunEndKind kind);
+
+/// Tells one life of a worker from every other one.
+struct WorkerLife {
+  std::string id;
+  /// Start of the life in milliseconds since 1970.
+  int64_t born_unix_ms = 0;
+
+  bool operator==(const WorkerLife&) const = default;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.id, self.born_unix_ms);
+  }
+};
+
+/// What a worker offers; it stays the same during one life.
+struct WorkerOffer {
+  std::string service;
+  std::string data_centre;
+  std::string rack;
+  std::vector<std::string> labels;
+  int64_t cpu_millicores = 0;
+  int64_t memory_mib = 0;
+  int64_t accelerators = 0;
+
+  Resources capacity() const {
+    return {cpu_millicores, memory_mib, accelerators};
+  }
+  bool operator==(const WorkerOffer&) const = default;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.service, self.data_centre, self.rack, self.labels,
+            self.cpu_millicores, self.memory_mib, self.accelerators);
+  }
+};
+
+}  // namespace fulmarrock
+
+template <>
+struct std::hash<fulmarrock::TaskName> {
+  size_t operator()(const fulmarrock::TaskName& name) const noexcept {
+    return name.workflow ^ (uint64_t{name.occurrence} << 40) ^
+           (uint64_t{name.step} << 20) ^ name.index;
+  }
+};
+
+#endif  // SOURCE_MESSAGE_WORKFLOW_H_
--- /dev/null
+++ b/source/message/workflow_messages.h
@@ -0,0 +1,221 @@
+#ifndef SOURCE_MESSAGE_WORKFLOW_MESSAGES_H_
+#define SOURCE_MESSAGE_WORKFLOW_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "source/base/ids.h"
+#include "source/base/millis.h"
+#include "source/message/consensus_messages.h"
+#include "source/message/workflow.h"
+
+namespace fulmarrock {
+
+/// What a caller wants of a workflow or a queue.
+enum class WorkflowCallKind : uint8_t {
+  kSubmit,
+  kShow,
+  kCancel,
+  kCountPending,
+};
+constexpr WorkflowCallKind MaxValue(WorkflowCallKind) {
+  return WorkflowCallKind::kCountPending;
+}
+
+/// Entry to control: one call of a caller.
+struct WorkflowCall {
+  /// Drawn by the entry; a reply carries it back.
+  uint64_t call = 0;
+  WorkflowCallKind kind = WorkflowCallKind::kSubmit;
+  std::string host;
+  /// Path without the key.
+  std::string path;
+  WorkflowKey key = 0;
+  /// Only in submissions.
+  WorkflowSpec spec;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.call, self.kind, self.host, self.path, self.key, self.spec);
+  }
+};
+
+/// How control answered a WorkflowCall.
+enum class WorkflowReplyKind : uint8_t {
+  kAccepted,       ///< Stored; also for a repeat.
+  kShown,          ///< `phase` holds.
+  kCounted,        ///< `pending` holds.
+  kCancelled,      ///< The cancellation is stored.
+  kNoWorkflow,     ///< No such workflow exists.
+  kNoQueue,        ///< No such queue exists.
+  kNoDirectory,    ///< No queues are configured yet. Nothing was stored.
+  kRefused,        ///< Not accepted, and it never runs.
+  kInvalid,        ///< The specification cannot be run.
+  kNotLeader,      ///< Nothing was done; ask `leader`.
+  kUnknownResult,  ///< It may or may not be stored.
+};
+constexpr WorkflowReplyKind MaxValue(WorkflowReplyKind) {
+  return WorkflowReplyKind::kUnknownResult;
+}
+
+/// Control to entry: answers a WorkflowCall.
+struct WorkflowReply {
+  uint64_t call = 0;
+  WorkflowReplyKind kind = WorkflowReplyKind::kNotLeader;
+  WorkflowPhase phase = WorkflowPhase::kQueued;
+  uint32_t pending = 0;
+  /// When the caller may try again; zero for no advice.
+  Millis retry_after;
+  /// The leader as far as known, or empty.
+  NodeId leader;
+  /// Members of the group, for finding it later.
+  std::vector<NodeId> members;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.call, self.kind, self.phase, self.pending, self.retry_after,
+            self.leader, self.members);
+  }
+};
+
+/// A run that a worker lists, or that the agent has confirmed.
+struct RunListing {
+  TaskName task;
+  RunNumber run = 0;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.task, self.run);
+  }
+};
+
+/// End of a run, as the agent learned it.
+struct RunEvent {
+  /// Counts the events of one agent process from 1.
+  uint64_t sequence = 0;
+  TaskName task;
+  RunNumber run = 0;
+  RunEndKind kind = RunEndKind::kDone;
+  /// Progress to resume from; empty for none.
+  std::string checkpoint;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.sequence, self.task, self.run, self.kind, self.checkpoint);
+  }
+};
+
+/// A run whose progress no longer changes, or that is far slower than its
+/// estimate.
+struct RunStall {
+  TaskName task;
+  RunNumber run = 0;
+  /// Time since the last progress.
+  Millis quiet;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.task, self.run, self.quiet);
+  }
+};
+
+/// Agent to control: the worker beside it. Sent on events and as a heartbeat.
+struct WorkerReport {
+  /// Of the agent process.
+  Incarnation agent = 0;
+  /// On the agent's clock; the lease counts from here.
+  Millis sent_at;
+  WorkerLife life;
+  WorkerOffer offer;
+  /// Whether the worker takes new runs.
+  bool is_taking = false;
+  /// Whether the worker has left for good, or everything on it has ended.
+  bool has_lapsed = false;
+  /// Whether `listed` holds everything that runs; otherwise it holds what was
+  /// confirmed since the last report.
+  bool is_full = false;
+  std::vector<RunListing> listed;
+  std::vector<RunEvent> events;
+  std::vector<RunStall> stalls;
+  /// Share at which filler tasks work, in percent.
+  uint32_t filler_percent = 100;
+  /// Processor use of the filler tasks in millicores, as measured last.
+  int64_t filler_cpu_millicores = 0;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.agent, self.sent_at, self.life, self.offer, self.is_taking,
+            self.has_lapsed, self.is_full, self.listed, self.events,
+            self.stalls, self.filler_percent, self.filler_cpu_millicores);
+  }
+};
+
+/// Order to start a run.
+struct StartOrder {
+  TaskName task;
+  RunNumber run = 0;
+  std::string payload;
+  std::string checkpoint;
+  Millis estimate;
+  bool is_filler = false;
+  /// Objective for the tail latency; zero for a task that does not serve.
+  Millis latency_target;
+  bool is_lasting = false;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.task, self.run, self.payload, self.checkpoint, self.estimate,
+            self.is_filler, self.latency_target, self.is_lasting);
+  }
+};
+
+/// Control to agent: answers a report, extends the lease, carries orders.
+struct WorkerOrders {
+  Term term = 0;
+  /// Agent process and worker's life the orders are for.
+  Incarnation agent = 0;
+  WorkerLife life;
+  /// `sent_at` of the newest report; the lease lasts from there.
+  Millis report_sent_at;
+  Millis lease;
+  /// Whether the next report has to be full.
+  bool needs_full = false;
+  /// Events up to here are stored and need not be sent again.
+  uint64_t stored_sequence = 0;
+  std::vector<StartOrder> starts;
+  std::vector<RunListing> stops;
+  std::vector<NodeId> members;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.term, self.agent, self.life, self.report_sent_at, self.lease,
+            self.needs_full, self.stored_sequence, self.starts, self.stops,
+            self.members);
+  }
+};
+
+/// Control member to its group: asks to become a member.
+struct JoinRequest {
+  Incarnation incarnation = 0;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.incarnation);
+  }
+};
+
+/// Control to whoever asked the wrong member: where the group is.
+struct GroupView {
+  NodeId leader;
+  std::vector<NodeId> members;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.leader, self.members);
+  }
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_MESSAGE_WORKFLOW_MESSAGES_H_
--- a/source/net/http2_transport.cc
+++ b/source/net/http2_transport.cc
@@ -116,7 +116,11 @@
     });
     return;
   }
-  const auto it = m_peers.find(to);
+  auto it = m_peers.find(to);
+  if (it == m_peers.end() && m_options.default_port != 0) {
+    LearnAddress(to, to + ":" + std::to_string(m_options.default_port));
+    it = m_peers.find(to);
+  }
   if (it == m_peers.end()) {
     m_counters.Add("transport_unknown_peer");
     return;
--- a/source/net/http2_transport.h
+++ b/source/net/http2_transport.h
@@ -29,6 +29,9 @@
   std::string announced_address;
   /// Addresses from the settings; learned ones never replace them.
   std::map<NodeId, std::string> peers;
+  /// Port at which a node whose name is an IP number is reached when its
+  /// address was never told; zero for none.
+  int default_port = 0;
   PeerQueueLimits queue_limits;
   size_t max_incoming_connections = 8192;
 };
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -66,6 +66,9 @@
       MHD_add_response_header(reply, name.c_str(),
                               CleanHeaderValue(value).c_str());
     }
+    if (server->m_closes_after_answers) {
+      MHD_add_response_header(reply, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
     const MHD_Result result = MHD_queue_response(
         connection, static_cast<unsigned>(response.status), reply);
     MHD_destroy_response(reply);
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -61,6 +61,9 @@
 
   Result<void> Start();
 
+  /// Makes every further answer the last one of its connection.
+  void CloseAfterAnswers() { m_closes_after_answers = true; }
+
   /// Accepts no more connections; open ones go on.
   void StopAccepting();
 
@@ -97,6 +100,7 @@
   std::unordered_set<std::shared_ptr<Call>> m_calls;
   Counters m_counters;
   bool m_is_run_scheduled = false;
+  bool m_closes_after_answers = false;
   EventLoop::TimerId m_timer = 0;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
--- a/source/net/signal_watcher.h
+++ b/source/net/signal_watcher.h
@@ -8,11 +8,14 @@
 
 namespace fulmarrock {
 
-/// Delivers SIGTERM and SIGINT as calls on a loop. Must be created before other
-/// threads, which inherit the blocked signals. Also ignores SIGPIPE.
+/// Delivers SIGTERM and SIGINT, and SIGHUP, as calls on a loop. Must be created
+/// before other threads, which inherit the blocked signals. Also ignores
+/// SIGPIPE.
 class SignalWatcher {
  public:
-  SignalWatcher(EventLoop& loop, std::function<void()> on_stop_signal);
+  SignalWatcher(EventLoop& loop,
+                std::function<void()> on_stop_signal,
+                std::function<void()> on_reload_signal);
   ~SignalWatcher();
   SignalWatcher(const SignalWatcher&) = delete;
   SignalWatcher& operator=(const SignalWatcher&) = delete;
--- a/source/standin/standin_program.cc
+++ b/source/standin/standin_program.cc
@@ -36,7 +36,8 @@
     return 0;
   }
   EventLoop loop;
-  SignalWatcher signals(loop, [&loop] { loop.Stop(); });
+  SignalWatcher signals(
+      loop, [&loop] { loop.Stop(); }, [] {});
   HttpServerOptions server_options;
   server_options.address = values["listen"].as<std::string>();
   server_options.max_body_bytes = size_t{8} << 20;
--- /dev/null
+++ b/source/workflow/run_placement.h
@@ -0,0 +1,73 @@
+#ifndef SOURCE_WORKFLOW_RUN_PLACEMENT_H_
+#define SOURCE_WORKFLOW_RUN_PLACEMENT_H_
+
+#include <optional>
+#include <span>
+
+#include "source/workflow/worker_room.h"
+#include "source/workflow/workflow_commands.h"
+
+namespace fulmarrock {
+
+/// A worker that may take runs, with what the choice depends on.
+struct WorkerCandidate {
+  WorkerNumber number = kNoWorkerNumber;
+  const WorkerOffer* offer = nullptr;
+  WorkerRoom* room = nullptr;
+  /// Share at which fillers may work there now, in percent.
+  uint32_t filler_percent = 100;
+  /// Processors that its fillers were measured to use, in millicores; negative
+  /// when nothing limits them there.
+  int64_t measured_filler_cpu = -1;
+  /// Whether nothing speaks against the worker.
+  bool is_trusted = true;
+  /// Whether the worker may get no more than one run now.
+  bool is_probe = false;
+};
+
+/// What is to be placed.
+struct RunRequest {
+  TaskName task;
+  const StepSpec* step = nullptr;
+  std::string_view service;
+  /// Whether another failure would fail the workflow.
+  bool is_last_attempt = false;
+  /// Whether it waited so long that any worker with room has to do.
+  bool is_starving = false;
+};
+
+/// Chooses the worker for one task.
+class RunPlacement {
+ public:
+  virtual ~RunPlacement() = default;
+
+  /// Returns the position of the chosen candidate, or nothing.
+  virtual std::optional<size_t> Choose(
+      const RunRequest& request,
+      std::span<const WorkerCandidate> candidates) const = 0;
+};
+
+/// Whether a worker may run the task at all: service, labels, limits, room.
+bool MayRun(const RunRequest& request, const WorkerCandidate& candidate);
+
+/// Baseline: the first worker that may run the task.
+class FirstFitRunPlacement : public RunPlacement {
+ public:
+  std::optional<size_t> Choose(
+      const RunRequest& request,
+      std::span<const WorkerCandidate> candidates) const override;
+};
+
+/// Places near the data, spreads the lasting tasks of a workflow over workers
+/// and racks, packs other tasks to keep large gaps, and gives fillers to the
+/// worker where they run fastest. A filler waits where it would be slow.
+class SharedRunPlacement : public RunPlacement {
+ public:
+  std::optional<size_t> Choose(
+      const RunRequest& request,
+      std::span<const WorkerCandidate> candidates) const override;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_WORKFLOW_RUN_PLACEMENT_H_
--- /dev/null
+++ b/source/workflow/worker_room.cc
@@ -0,0 +1,62 @@
+#include "source/workflow/worker_room.h"
+
+#include <algorithm>
+
+namespace fulmarrock {
+namespace {
+
+/// Part of their reservation, in percent, that lasting tasks are expected to
+/// leave idle.
+constexpr int64_t kIdlePercentOfLasting = 50;
+
+/// Adds to a counter of a map and drops it at zero.
+template <typename Key>
+void AddTo(std::map<Key, uint32_t>& counts, const Key& key, int sign) {
+  uint32_t& count = counts[key];
+  count += static_cast<uint32_t>(sign);
+  if (count == 0)
+    counts.erase(key);
+}
+
+}  // namespace
+
+bool WorkerRoom::Fits(const StepSpec& step) const {
+  Resources request = step.resources();
+  if (step.is_filler)
+    request.cpu_millicores = 0;
+  return (m_used + request).FitsIn(m_capacity);
+}
+
+int64_t WorkerRoom::ExpectedIdleCpu() const {
+  return free_cpu() + m_lasting_cpu * kIdlePercentOfLasting / 100;
+}
+
+uint32_t WorkerRoom::CountOfStep(const TaskName& task) const {
+  const auto it =
+      m_by_step.find(StepKey{task.workflow, task.occurrence, task.step});
+  return it == m_by_step.end() ? 0 : it->second;
+}
+
+uint32_t WorkerRoom::CountOfWorkflow(WorkflowKey workflow) const {
+  const auto it = m_by_workflow.find(workflow);
+  return it == m_by_workflow.end() ? 0 : it->second;
+}
+
+void WorkerRoom::Count(const TaskName& task, const StepSpec& step, int sign) {
+  Resources amount = step.resources();
+  if (step.is_filler) {
+    m_filler_cpu += sign * amount.cpu_millicores;
+    m_filler_count += static_cast<uint32_t>(sign);
+    amount.cpu_millicores = 0;
+  } else if (step.is_lasting) {
+    m_lasting_cpu += sign * amount.cpu_millicores;
+  }
+  if (sign > 0)
+    m_used += amount;
+  else
+    m_used -= amount;
+  AddTo(m_by_step, StepKey{task.workflow, task.occurrence, task.step}, sign);
+  AddTo(m_by_workflow, task.workflow, sign);
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/workflow/workflow_commands.h
@@ -0,0 +1,128 @@
+#ifndef SOURCE_WORKFLOW_WORKFLOW_COMMANDS_H_
+#define SOURCE_WORKFLOW_WORKFLOW_COMMANDS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "source/base/ids.h"
+#include "source/message/workflow.h"
+#include "source/message/workflow_messages.h"
+
+namespace fulmarrock {
+
+/// Number of a worker's life in the replicated state; never used again.
+using WorkerNumber = uint64_t;
+inline constexpr WorkerNumber kNoWorkerNumber = 0;
+
+/// Sets the queues and services. `token` names the caller that waits at the
+/// proposer.
+struct ConfigureQueues {
+  uint64_t token = 0;
+  QueueDirectory directory;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.token, self.directory);
+  }
+};
+
+/// Adds a workflow to the queue of a host and path.
+struct SubmitWorkflow {
+  uint64_t token = 0;
+  std::string host;
+  std::string path;
+  WorkflowSpec spec;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.token, self.host, self.path, self.spec);
+  }
+};
+
+/// Cancels a workflow.
+struct CancelWorkflow {
+  uint64_t token = 0;
+  WorkflowKey key = 0;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.token, self.key);
+  }
+};
+
+/// Adds a worker's life.
+struct RegisterWorker {
+  NodeId agent;
+  WorkerLife life;
+  WorkerOffer offer;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.agent, self.life, self.offer);
+  }
+};
+
+/// Ends all runs of a worker, which surely run no more.
+struct ReleaseWorker {
+  WorkerNumber worker = kNoWorkerNumber;
+  /// Whether the life is over, so that the worker is forgotten.
+  bool is_gone = false;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.worker, self.is_gone);
+  }
+};
+
+/// Records the ends of runs.
+struct RecordEvents {
+  NodeId agent;
+  Incarnation incarnation = 0;
+  std::vector<RunEvent> events;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.agent, self.incarnation, self.events);
+  }
+};
+
+/// Assigns a waiting task to a worker under its next run.
+struct AssignRun {
+  TaskName task;
+  RunNumber run = 0;
+  WorkerNumber worker = kNoWorkerNumber;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.task, self.run, self.worker);
+  }
+};
+
+/// The part of a log entry that concerns workflows, applied in the order of the
+/// fields.
+struct WorkflowBatch {
+  std::vector<ConfigureQueues> configurations;
+  std::vector<RegisterWorker> workers;
+  std::vector<RecordEvents> events;
+  std::vector<ReleaseWorker> releases;
+  std::vector<SubmitWorkflow> submissions;
+  std::vector<CancelWorkflow> cancellations;
+  std::vector<AssignRun> assignments;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.configurations, self.workers, self.events, self.releases,
+            self.submissions, self.cancellations, self.assignments);
+  }
+
+  bool IsEmpty() const {
+    return configurations.empty() && workers.empty() && events.empty() &&
+           releases.empty() && submissions.empty() && cancellations.empty() &&
+           assignments.empty();
+  }
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_WORKFLOW_WORKFLOW_COMMANDS_H_
--- /dev/null
+++ b/source/workflow/workflow_record.h
@@ -0,0 +1,110 @@
+#ifndef SOURCE_WORKFLOW_WORKFLOW_RECORD_H_
+#define SOURCE_WORKFLOW_WORKFLOW_RECORD_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "source/message/workflow.h"
+#include "source/workflow/workflow_commands.h"
+
+namespace fulmarrock {
+
+/// Where a task is between its submission and its end.
+enum class TaskStage : uint8_t {
+  kWaiting,
+  kActive,  ///< A run is assigned, and nothing shows that it is over.
+  kDone,
+};
+constexpr TaskStage MaxValue(TaskStage) {
+  return TaskStage::kDone;
+}
+
+/// One task.
+struct WorkflowTask {
+  TaskStage stage = TaskStage::kWaiting;
+  /// Number of the last run; zero before the first.
+  RunNumber run = 0;
+  uint32_t failed_runs = 0;
+  /// Worker of an active run.
+  WorkerNumber worker = kNoWorkerNumber;
+  std::string checkpoint;
+  /// When the task entered its stage, in replicated time.
+  Millis since;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.stage, self.run, self.failed_runs, self.worker,
+            self.checkpoint, self.since);
+  }
+};
+
+/// The tasks of one step of one occurrence.
+struct WorkflowStep {
+  std::vector<WorkflowTask> tasks;
+
+  // Derived; counted again when a snapshot is restored.
+  uint32_t waiting = 0;
+  uint32_t done = 0;
+
+  bool IsDone() const { return done == tasks.size(); }
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.tasks);
+  }
+};
+
+/// One repetition of a workflow's steps.
+struct WorkflowOccurrence {
+  /// Milliseconds since 1970; zero for at once.
+  int64_t due_unix_ms = 0;
+  std::vector<WorkflowStep> steps;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.due_unix_ms, self.steps);
+  }
+};
+
+/// One workflow with all its tasks.
+struct WorkflowRecord {
+  WorkflowSpec spec;
+  /// The queue at the time of the submission. The newest directory goes first
+  /// where it still has the queue.
+  QueueSettings queue;
+  WorkflowPhase phase = WorkflowPhase::kQueued;
+  /// In replicated time.
+  Millis accepted_at;
+  Millis ended_at;
+  std::vector<WorkflowOccurrence> occurrences;
+
+  // Derived.
+  uint32_t active = 0;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.spec, self.queue, self.phase, self.accepted_at, self.ended_at,
+            self.occurrences);
+  }
+
+  /// Whether every step that a step depends on is complete.
+  bool IsStepReady(const WorkflowOccurrence& occurrence, uint32_t step) const;
+};
+
+/// One life of a worker.
+struct WorkerEntry {
+  WorkerNumber number = kNoWorkerNumber;
+  NodeId agent;
+  WorkerLife life;
+  WorkerOffer offer;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.number, self.agent, self.life, self.offer);
+  }
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_WORKFLOW_WORKFLOW_RECORD_H_
--- /dev/null
+++ b/source/workflow/workflow_scheduler.cc
@@ -0,0 +1,266 @@
+#include "source/workflow/workflow_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarrock {
+namespace {
+
+/// Pause after a worker refused a run for want of room.
+constexpr Millis kNoRoomPause{300};
+
+/// A workflow without any run is placed wherever there is room after this time.
+constexpr Millis kStarvingAfter{1'500};
+
+}  // namespace
+
+void WorkflowScheduler::Rebuild() {
+  m_health.Clear();
+  m_rooms.clear();
+  m_no_room_until.clear();
+  for (const auto& [number, worker] : m_state.workers()) {
+    WorkerRoom& room = RoomFor(number);
+    for (const TaskName& task : m_state.RunsOf(number))
+      room.Add(task, *m_state.FindStep(task));
+  }
+}
+
+void WorkflowScheduler::OnEffects(const WorkflowEffects& effects, Millis now) {
+  for (const RunChange& change : effects.runs) {
+    const StepSpec* step = m_state.FindStep(change.task);
+    const auto room = m_rooms.find(change.worker);
+    if (change.kind == RunChange::Kind::kAssigned) {
+      RoomFor(change.worker).Add(change.task, *step);
+      m_health.OnAssigned(change.worker, change.task);
+      continue;
+    }
+    if (room != m_rooms.end() && step)
+      room->second.Remove(change.task, *step);
+    if (change.kind == RunChange::Kind::kReleased)
+      continue;
+    if (change.end == RunEndKind::kDone)
+      m_health.OnSuccess(change.worker, now);
+    else if (change.end == RunEndKind::kFailed ||
+             change.end == RunEndKind::kDeclined)
+      m_health.OnFailure(change.worker, change.task, now);
+    else
+      m_health.OnNeutralEnd(change.worker, change.task);
+  }
+  for (const WorkflowKey key : effects.ended)
+    m_health.OnWorkflowEnded(key);
+  for (const WorkerNumber worker : effects.forgotten) {
+    m_rooms.erase(worker);
+    m_no_room_until.erase(worker);
+    m_health.Remove(worker);
+  }
+}
+
+void WorkflowScheduler::OnStall(const TaskName& task,
+                                WorkerNumber worker,
+                                Millis now) {
+  m_health.OnFailure(worker, task, now);
+}
+
+void WorkflowScheduler::OnNoRoom(WorkerNumber worker, Millis now) {
+  m_no_room_until[worker] = now + kNoRoomPause;
+}
+
+std::vector<AssignRun> WorkflowScheduler::Plan(
+    const std::map<WorkerNumber, WorkerStatus>& workers,
+    const PlanningTime& time,
+    size_t limit) {
+  std::vector<AssignRun> plan;
+  m_blocked_steps = 0;
+  std::vector<ReadyStep> ready = FindReady(time);
+  if (ready.empty())
+    return plan;
+  std::vector<WorkerCandidate> candidates = FindCandidates(workers, time.now);
+  m_order.Sort(ready, time.replicated);
+  for (const ReadyStep& step : ready) {
+    if (plan.size() >= limit)
+      break;
+    if (step.spec().is_gang)
+      m_blocked_steps += PlaceGang(step, candidates, plan) ? 0 : 1;
+    else
+      PlaceStep(step, time, candidates, plan, limit);
+  }
+  // The rooms count a planned run again when it is applied.
+  for (const AssignRun& run : plan)
+    RoomFor(run.worker).Remove(run.task, *m_state.FindStep(run.task));
+  return plan;
+}
+
+std::vector<ReadyStep> WorkflowScheduler::FindReady(
+    const PlanningTime& time) const {
+  std::vector<ReadyStep> ready;
+  for (const WorkflowKey key : m_state.open()) {
+    const WorkflowRecord& workflow = *m_state.Find(key);
+    if (IsFinal(workflow.phase))
+      continue;
+    for (uint32_t k = 0; k < workflow.occurrences.size(); ++k) {
+      const WorkflowOccurrence& occurrence = workflow.occurrences[k];
+      if (occurrence.due_unix_ms > time.unix_ms)
+        continue;
+      Millis due_at = workflow.accepted_at;
+      if (occurrence.due_unix_ms > 0)
+        due_at =
+            time.replicated - Millis(time.unix_ms - occurrence.due_unix_ms);
+      for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+        if (occurrence.steps[step].waiting > 0 &&
+            workflow.IsStepReady(occurrence, step)) {
+          ready.push_back(
+              {&workflow, &m_state.QueueOf(workflow), k, step, due_at});
+        }
+      }
+    }
+  }
+  return ready;
+}
+
+std::vector<WorkerCandidate> WorkflowScheduler::FindCandidates(
+    const std::map<WorkerNumber, WorkerStatus>& workers,
+    Millis now) {
+  std::vector<WorkerCandidate> candidates;
+  for (const auto& [number, status] : workers) {
+    const WorkerEntry* entry = m_state.FindWorker(number);
+    const auto pause = m_no_room_until.find(number);
+    const bool is_paused =
+        pause != m_no_room_until.end() && now < pause->second;
+    if (!entry || !status.is_taking || is_paused ||
+        !m_health.IsUsable(number, now)) {
+      continue;
+    }
+    WorkerCandidate candidate;
+    candidate.number = number;
+    candidate.offer = &entry->offer;
+    candidate.room = &RoomFor(number);
+    candidate.filler_percent = status.filler_percent;
+    candidate.measured_filler_cpu = status.measured_filler_cpu;
+    candidate.is_trusted = m_health.IsTrusted(number);
+    candidate.is_probe = m_health.IsAside(number);
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+void WorkflowScheduler::PlaceStep(const ReadyStep& ready,
+                                  const PlanningTime& time,
+                                  std::vector<WorkerCandidate>& candidates,
+                                  std::vector<AssignRun>& plan,
+                                  size_t limit) {
+  const auto& tasks = ready.state().tasks;
+  RunRequest request;
+  request.step = &ready.spec();
+  request.service = ready.queue->service;
+  bool has_placed = false;
+  for (uint32_t i = 0; i < tasks.size() && plan.size() < limit; ++i) {
+    if (tasks[i].stage != TaskStage::kWaiting)
+      continue;
+    request.task = {ready.workflow->spec.key, ready.occurrence, ready.step, i};
+    request.is_last_attempt =
+        tasks[i].failed_runs > 0 &&
+        tasks[i].failed_runs + 1 >= ready.queue->max_attempts;
+    request.is_starving = ready.workflow->active == 0 && !has_placed &&
+                          time.replicated - tasks[i].since > kStarvingAfter;
+    const std::optional<size_t> position = ChooseFor(request, candidates);
+    if (!position) {
+      ++m_blocked_steps;
+      // The other tasks of the step are alike; only a task that must avoid a
+      // worker may be stuck alone.
+      if (tasks[i].failed_runs == 0)
+        return;
+      continue;
+    }
+    Take(request, *position, tasks[i].run + 1, candidates, plan);
+    has_placed = true;
+  }
+}
+
+bool WorkflowScheduler::PlaceGang(const ReadyStep& ready,
+                                  std::vector<WorkerCandidate>& candidates,
+                                  std::vector<AssignRun>& plan) {
+  const auto& tasks = ready.state().tasks;
+  RunNumber run = 0;
+  for (const WorkflowTask& task : tasks) {
+    // Members of an earlier attempt have to be over before the next one.
+    if (task.stage == TaskStage::kActive)
+      return false;
+    run = std::max(run, task.run + 1);
+  }
+  const size_t begin = plan.size();
+  RunRequest request;
+  request.step = &ready.spec();
+  request.service = ready.queue->service;
+  for (uint32_t i = 0; i < tasks.size(); ++i) {
+    request.task = {ready.workflow->spec.key, ready.occurrence, ready.step, i};
+    const std::optional<size_t> position = ChooseFor(request, candidates);
+    if (position) {
+      Take(request, *position, run, candidates, plan);
+      continue;
+    }
+    while (plan.size() > begin) {
+      RoomFor(plan.back().worker).Remove(plan.back().task, ready.spec());
+      plan.pop_back();
+    }
+    return false;
+  }
+  return true;
+}
+
+std::optional<size_t> WorkflowScheduler::ChooseFor(
+    const RunRequest& request,
+    std::span<const WorkerCandidate> candidates) {
+  // A task that failed on a worker goes elsewhere, if there is an elsewhere.
+  std::vector<WorkerCandidate> others;
+  std::vector<size_t> positions;
+  bool has_failed_on_any = false;
+  for (size_t i = 0; i < candidates.size(); ++i) {
+    if (m_health.HasFailedOn(request.task, candidates[i].number)) {
+      has_failed_on_any = true;
+      continue;
+    }
+    others.push_back(candidates[i]);
+    positions.push_back(i);
+  }
+  if (!has_failed_on_any)
+    return m_placement.Choose(request, candidates);
+  const std::optional<size_t> position = m_placement.Choose(request, others);
+  if (position)
+    return positions[*position];
+  const bool has_other_worker =
+      std::any_of(others.begin(), others.end(), [&](const auto& candidate) {
+        return candidate.offer->service == request.service;
+      });
+  if (has_other_worker && !request.is_starving)
+    return std::nullopt;
+  return m_placement.Choose(request, candidates);
+}
+
+void WorkflowScheduler::Take(const RunRequest& request,
+                             size_t position,
+                             RunNumber run,
+                             std::vector<WorkerCandidate>& candidates,
+                             std::vector<AssignRun>& plan) {
+  WorkerCandidate& candidate = candidates[position];
+  candidate.room->Add(request.task, *request.step);
+  plan.push_back({request.task, run, candidate.number});
+  if (candidate.is_probe)
+    candidates.erase(candidates.begin() + static_cast<ptrdiff_t>(position));
+}
+
+const WorkerRoom* WorkflowScheduler::RoomOf(WorkerNumber worker) const {
+  const auto it = m_rooms.find(worker);
+  return it == m_rooms.end() ? nullptr : &it->second;
+}
+
+WorkerRoom& WorkflowScheduler::RoomFor(WorkerNumber worker) {
+  const auto it = m_rooms.find(worker);
+  if (it != m_rooms.end())
+    return it->second;
+  const WorkerEntry* entry = m_state.FindWorker(worker);
+  return m_rooms
+      .emplace(worker, WorkerRoom(entry ? entry->offer : WorkerOffer()))
+      .first->second;
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/workflow/workflow_state.cc
@@ -0,0 +1,460 @@
+#include "source/workflow/workflow_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarrock {
+namespace {
+
+const std::set<TaskName> kNoRuns;
+
+std::string PlaceOf(const QueueSettings& queue) {
+  return queue.host + "\n" + queue.path_prefix;
+}
+
+}  // namespace
+
+bool WorkflowRecord::IsStepReady(const WorkflowOccurrence& occurrence,
+                                 uint32_t step) const {
+  const std::vector<uint32_t>& earlier = spec.steps[step].depends_on;
+  return std::all_of(earlier.begin(), earlier.end(), [&](uint32_t other) {
+    return occurrence.steps[other].IsDone();
+  });
+}
+
+WorkflowEffects WorkflowState::Apply(const WorkflowBatch& batch, Millis now) {
+  WorkflowEffects effects;
+  m_now = std::max(m_now, now);
+  Prune();
+  for (const ConfigureQueues& command : batch.configurations)
+    Configure(command, effects);
+  for (const RegisterWorker& command : batch.workers)
+    Register(command, effects);
+  for (const RecordEvents& command : batch.events)
+    Record(command, effects);
+  for (const ReleaseWorker& command : batch.releases)
+    Release(command, effects);
+  for (const SubmitWorkflow& command : batch.submissions)
+    Submit(command, effects);
+  for (const CancelWorkflow& command : batch.cancellations)
+    Cancel(command, effects);
+  for (const AssignRun& command : batch.assignments)
+    Assign(command, effects);
+  effects.has_assignments = !batch.assignments.empty();
+  return effects;
+}
+
+void WorkflowState::Configure(const ConfigureQueues& command,
+                              WorkflowEffects& effects) {
+  // The first content of a version stays; an older or equal one changes
+  // nothing, and its sender is told that it arrived.
+  effects.answers.push_back({command.token, WorkflowReplyKind::kAccepted});
+  if (command.directory.version <= m_directory.version)
+    return;
+  m_directory = command.directory;
+  m_queue_by_place.clear();
+  for (size_t i = 0; i < m_directory.queues.size(); ++i)
+    m_queue_by_place[PlaceOf(m_directory.queues[i])] = i;
+  effects.has_new_directory = true;
+}
+
+void WorkflowState::Register(const RegisterWorker& command,
+                             WorkflowEffects& effects) {
+  const WorkerEntry* known = FindWorkerOf(command.agent);
+  if (known && known->life == command.life)
+    return;
+  if (known && known->life.born_unix_ms > command.life.born_unix_ms)
+    return;
+  if (known)
+    Release({known->number, true}, effects);
+  WorkerEntry entry;
+  entry.number = ++m_last_worker;
+  entry.agent = command.agent;
+  entry.life = command.life;
+  entry.offer = command.offer;
+  m_worker_by_agent[entry.agent] = entry.number;
+  effects.registered.push_back(entry.number);
+  m_workers.emplace(entry.number, std::move(entry));
+}
+
+void WorkflowState::Record(const RecordEvents& command,
+                           WorkflowEffects& effects) {
+  uint64_t last = 0;
+  for (const RunEvent& event : command.events) {
+    RecordEvent(event, effects);
+    last = std::max(last, event.sequence);
+  }
+  effects.stored.push_back({command.agent, command.incarnation, last});
+}
+
+void WorkflowState::RecordEvent(const RunEvent& event,
+                                WorkflowEffects& effects) {
+  WorkflowRecord* workflow = FindOpen(event.task.workflow);
+  const WorkflowTask* task = FindTask(event.task);
+  if (!workflow || !task || task->stage != TaskStage::kActive ||
+      task->run != event.run) {
+    return;
+  }
+  const StepSpec& step = workflow->spec.steps[event.task.step];
+  const WorkerNumber worker = task->worker;
+  const bool is_done = event.kind == RunEndKind::kDone && !step.is_lasting;
+  Deactivate(*workflow, event.task,
+             is_done ? TaskStage::kDone : TaskStage::kWaiting);
+  WorkflowTask& changed = workflow->occurrences[event.task.occurrence]
+                              .steps[event.task.step]
+                              .tasks[event.task.index];
+  if (!event.checkpoint.empty())
+    changed.checkpoint = event.checkpoint;
+  if (event.kind == RunEndKind::kFailed)
+    ++changed.failed_runs;
+  effects.runs.push_back(
+      {RunChange::Kind::kEnded, event.task, event.run, worker, event.kind});
+  if (is_done && step.is_gang)
+    CompleteGang(*workflow, event.task, effects);
+  const bool is_exhausted =
+      !step.is_lasting && changed.stage == TaskStage::kWaiting &&
+      CountFailedRuns(*workflow, event.task) >= QueueOf(*workflow).max_attempts;
+  if (is_exhausted)
+    End(*workflow, WorkflowPhase::kFailed, effects);
+  else if (is_done)
+    CheckCompletion(*workflow, effects);
+  CloseIfOver(*workflow);
+}
+
+uint32_t WorkflowState::CountFailedRuns(const WorkflowRecord& workflow,
+                                        const TaskName& name) {
+  const auto& tasks =
+      workflow.occurrences[name.occurrence].steps[name.step].tasks;
+  if (!workflow.spec.steps[name.step].is_gang)
+    return tasks[name.index].failed_runs;
+  // A failed attempt of a gang ends as failed at one member only.
+  uint32_t count = 0;
+  for (const WorkflowTask& task : tasks)
+    count += task.failed_runs;
+  return count;
+}
+
+void WorkflowState::CompleteGang(WorkflowRecord& workflow,
+                                 const TaskName& name,
+                                 WorkflowEffects& effects) {
+  // All members complete together, so one end stands for all of them.
+  const auto& tasks =
+      workflow.occurrences[name.occurrence].steps[name.step].tasks;
+  for (uint32_t i = 0; i < tasks.size(); ++i) {
+    if (tasks[i].stage != TaskStage::kActive)
+      continue;
+    const TaskName member{name.workflow, name.occurrence, name.step, i};
+    effects.runs.push_back({RunChange::Kind::kEnded, member, tasks[i].run,
+                            tasks[i].worker, RunEndKind::kDone});
+    Deactivate(workflow, member, TaskStage::kDone);
+  }
+}
+
+void WorkflowState::Release(const ReleaseWorker& command,
+                            WorkflowEffects& effects) {
+  const auto it = m_workers.find(command.worker);
+  if (it == m_workers.end())
+    return;
+  const std::set<TaskName> runs = RunsOf(command.worker);
+  for (const TaskName& name : runs) {
+    WorkflowRecord* workflow = FindOpen(name.workflow);
+    const RunNumber run = FindTask(name)->run;
+    Deactivate(*workflow, name, TaskStage::kWaiting);
+    effects.runs.push_back(
+        {RunChange::Kind::kReleased, name, run, command.worker});
+    CloseIfOver(*workflow);
+  }
+  if (!command.is_gone)
+    return;
+  const auto by_agent = m_worker_by_agent.find(it->second.agent);
+  if (by_agent != m_worker_by_agent.end() &&
+      by_agent->second == command.worker) {
+    m_worker_by_agent.erase(by_agent);
+  }
+  m_runs.erase(command.worker);
+  m_workers.erase(it);
+  effects.forgotten.push_back(command.worker);
+}
+
+void WorkflowState::Submit(const SubmitWorkflow& command,
+                           WorkflowEffects& effects) {
+  WorkflowAnswer answer{command.token, WorkflowReplyKind::kAccepted};
+  const QueueSettings* queue = FindQueue(command.host, command.path);
+  if (Find(command.spec.key))
+    answer.kind = WorkflowReplyKind::kAccepted;
+  else if (!queue)
+    answer.kind = WorkflowReplyKind::kNoQueue;
+  else if (m_open.size() >= kMaxOpen)
+    answer.kind = WorkflowReplyKind::kRefused;
+  else
+    Add(command, *queue);
+  effects.answers.push_back(answer);
+}
+
+void WorkflowState::Add(const SubmitWorkflow& command,
+                        const QueueSettings& queue) {
+  WorkflowRecord workflow;
+  workflow.spec = command.spec;
+  workflow.queue = queue;
+  workflow.accepted_at = m_now;
+  const uint32_t count = std::max(command.spec.repeat_count, 1u);
+  for (uint32_t k = 0; k < count; ++k) {
+    WorkflowOccurrence& occurrence = workflow.occurrences.emplace_back();
+    if (command.spec.repeat_count > 0) {
+      occurrence.due_unix_ms =
+          command.spec.first_due_unix_ms + command.spec.interval.count() * k;
+    }
+    for (const StepSpec& step : command.spec.steps) {
+      WorkflowTask task;
+      task.since = m_now;
+      occurrence.steps.emplace_back().tasks.assign(step.count, task);
+    }
+  }
+  CountTasks(workflow);
+  m_open.insert(command.spec.key);
+  m_workflows.emplace(command.spec.key, std::move(workflow));
+}
+
+void WorkflowState::Cancel(const CancelWorkflow& command,
+                           WorkflowEffects& effects) {
+  WorkflowAnswer answer{command.token, WorkflowReplyKind::kCancelled};
+  const auto it = m_workflows.find(command.key);
+  if (it == m_workflows.end()) {
+    // A copy of the submission may still arrive; it must find the
+    // cancellation.
+    WorkflowRecord& workflow = m_workflows[command.key];
+    workflow.spec.key = command.key;
+    workflow.phase = WorkflowPhase::kCancelled;
+    workflow.ended_at = m_now;
+    m_ended.emplace(m_now, command.key);
+    answer.kind = WorkflowReplyKind::kNoWorkflow;
+  } else if (!IsFinal(it->second.phase)) {
+    End(it->second, WorkflowPhase::kCancelled, effects);
+    CloseIfOver(it->second);
+  }
+  effects.answers.push_back(answer);
+}
+
+bool WorkflowState::CanAssign(const AssignRun& command) const {
+  const WorkflowRecord* workflow = Find(command.task.workflow);
+  const WorkflowTask* task = FindTask(command.task);
+  if (!workflow || !task || IsFinal(workflow->phase))
+    return false;
+  return task->stage == TaskStage::kWaiting && command.run > task->run &&
+         m_workers.contains(command.worker) &&
+         workflow->IsStepReady(workflow->occurrences[command.task.occurrence],
+                               command.task.step);
+}
+
+void WorkflowState::Assign(const AssignRun& command, WorkflowEffects& effects) {
+  if (!CanAssign(command))
+    return;
+  WorkflowRecord& workflow = m_workflows.at(command.task.workflow);
+  WorkflowStep& step =
+      workflow.occurrences[command.task.occurrence].steps[command.task.step];
+  WorkflowTask& task = step.tasks[command.task.index];
+  task.stage = TaskStage::kActive;
+  task.run = command.run;
+  task.worker = command.worker;
+  task.since = m_now;
+  --step.waiting;
+  ++workflow.active;
+  workflow.phase = WorkflowPhase::kRunning;
+  m_runs[command.worker].insert(command.task);
+  effects.runs.push_back(
+      {RunChange::Kind::kAssigned, command.task, command.run, command.worker});
+}
+
+void WorkflowState::Deactivate(WorkflowRecord& workflow,
+                               const TaskName& name,
+                               TaskStage next) {
+  WorkflowStep& step = workflow.occurrences[name.occurrence].steps[name.step];
+  WorkflowTask& task = step.tasks[name.index];
+  m_runs[task.worker].erase(name);
+  task.worker = kNoWorkerNumber;
+  task.stage = next;
+  task.since = m_now;
+  --workflow.active;
+  if (next == TaskStage::kDone)
+    ++step.done;
+  else
+    ++step.waiting;
+}
+
+void WorkflowState::CheckCompletion(WorkflowRecord& workflow,
+                                    WorkflowEffects& effects) {
+  if (IsFinal(workflow.phase))
+    return;
+  for (const WorkflowOccurrence& occurrence : workflow.occurrences) {
+    for (const WorkflowStep& step : occurrence.steps) {
+      if (!step.IsDone())
+        return;
+    }
+  }
+  End(workflow, WorkflowPhase::kCompleted, effects);
+}
+
+void WorkflowState::End(WorkflowRecord& workflow,
+                        WorkflowPhase phase,
+                        WorkflowEffects& effects) {
+  if (IsFinal(workflow.phase))
+    return;
+  workflow.phase = phase;
+  workflow.ended_at = m_now;
+  m_ended.emplace(m_now, workflow.spec.key);
+  effects.ended.push_back(workflow.spec.key);
+}
+
+void WorkflowState::CloseIfOver(WorkflowRecord& workflow) {
+  if (IsFinal(workflow.phase) && workflow.active == 0)
+    m_open.erase(workflow.spec.key);
+}
+
+void WorkflowState::Prune() {
+  while (!m_ended.empty() && m_ended.begin()->first + kRetention < m_now) {
+    const WorkflowKey key = m_ended.begin()->second;
+    // Runs that are not known to be over keep their workflow.
+    if (m_open.contains(key))
+      return;
+    m_workflows.erase(key);
+    m_ended.erase(m_ended.begin());
+  }
+}
+
+void WorkflowState::CountTasks(WorkflowRecord& workflow) {
+  workflow.active = 0;
+  for (WorkflowOccurrence& occurrence : workflow.occurrences) {
+    for (WorkflowStep& step : occurrence.steps) {
+      step.waiting = 0;
+      step.done = 0;
+      for (const WorkflowTask& task : step.tasks) {
+        step.waiting += task.stage == TaskStage::kWaiting;
+        step.done += task.stage == TaskStage::kDone;
+        workflow.active += task.stage == TaskStage::kActive;
+      }
+    }
+  }
+}
+
+const QueueSettings* WorkflowState::FindQueue(std::string_view host,
+                                              std::string_view path) const {
+  // The longest prefix wins, so that the path is cut from its end.
+  std::string place = std::string(host) + "\n";
+  const size_t start = place.size();
+  place += path;
+  for (;;) {
+    const auto it = m_queue_by_place.find(place);
+    if (it != m_queue_by_place.end())
+      return &m_directory.queues[it->second];
+    if (place.size() <= start)
+      return nullptr;
+    place.pop_back();
+  }
+}
+
+const QueueSettings& WorkflowState::QueueOf(
+    const WorkflowRecord& workflow) const {
+  const auto it = m_queue_by_place.find(PlaceOf(workflow.queue));
+  return it == m_queue_by_place.end() ? workflow.queue
+                                      : m_directory.queues[it->second];
+}
+
+const WorkflowRecord* WorkflowState::Find(WorkflowKey key) const {
+  const auto it = m_workflows.find(key);
+  return it == m_workflows.end() ? nullptr : &it->second;
+}
+
+WorkflowRecord* WorkflowState::FindOpen(WorkflowKey key) {
+  const auto it = m_workflows.find(key);
+  return it == m_workflows.end() ? nullptr : &it->second;
+}
+
+const WorkflowTask* WorkflowState::FindTask(const TaskName& name) const {
+  const WorkflowRecord* workflow = Find(name.workflow);
+  if (!workflow || name.occurrence >= workflow->occurrences.size())
+    return nullptr;
+  const WorkflowOccurrence& occurrence = workflow->occurrences[name.occurrence];
+  if (name.step >= occurrence.steps.size() ||
+      name.index >= occurrence.steps[name.step].tasks.size()) {
+    return nullptr;
+  }
+  return &occurrence.steps[name.step].tasks[name.index];
+}
+
+const StepSpec* WorkflowState::FindStep(const TaskName& name) const {
+  const WorkflowRecord* workflow = Find(name.workflow);
+  return workflow && name.step < workflow->spec.steps.size()
+             ? &workflow->spec.steps[name.step]
+             : nullptr;
+}
+
+const WorkerEntry* WorkflowState::FindWorker(WorkerNumber number) const {
+  const auto it = m_workers.find(number);
+  return it == m_workers.end() ? nullptr : &it->second;
+}
+
+const WorkerEntry* WorkflowState::FindWorkerOf(const NodeId& agent) const {
+  const auto it = m_worker_by_agent.find(agent);
+  return it == m_worker_by_agent.end() ? nullptr : FindWorker(it->second);
+}
+
+const std::set<TaskName>& WorkflowState::RunsOf(WorkerNumber number) const {
+  const auto it = m_runs.find(number);
+  return it == m_runs.end() ? kNoRuns : it->second;
+}
+
+uint32_t WorkflowState::CountPending(const QueueSettings& queue) const {
+  const std::string place = PlaceOf(queue);
+  uint32_t count = 0;
+  for (const WorkflowKey key : m_open) {
+    const WorkflowRecord& workflow = m_workflows.at(key);
+    if (workflow.phase == WorkflowPhase::kQueued &&
+        PlaceOf(workflow.queue) == place) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+WorkflowState::Image WorkflowState::Save() const {
+  Image image;
+  image.directory = m_directory;
+  image.last_worker = m_last_worker;
+  for (const auto& [key, workflow] : m_workflows)
+    image.workflows.push_back(workflow);
+  for (const auto& [number, worker] : m_workers)
+    image.workers.push_back(worker);
+  return image;
+}
+
+void WorkflowState::Restore(Image image) {
+  *this = WorkflowState();
+  m_directory = std::move(image.directory);
+  for (size_t i = 0; i < m_directory.queues.size(); ++i)
+    m_queue_by_place[PlaceOf(m_directory.queues[i])] = i;
+  m_last_worker = image.last_worker;
+  for (WorkerEntry& worker : image.workers) {
+    m_worker_by_agent[worker.agent] = worker.number;
+    m_workers.emplace(worker.number, std::move(worker));
+  }
+  for (WorkflowRecord& workflow : image.workflows) {
+    CountTasks(workflow);
+    const WorkflowKey key = workflow.spec.key;
+    if (IsFinal(workflow.phase))
+      m_ended.emplace(workflow.ended_at, key);
+    if (!IsFinal(workflow.phase) || workflow.active > 0)
+      m_open.insert(key);
+    for (uint32_t k = 0; k < workflow.occurrences.size(); ++k) {
+      const auto& steps = workflow.occurrences[k].steps;
+      for (uint32_t s = 0; s < steps.size(); ++s) {
+        for (uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
+          if (steps[s].tasks[i].stage == TaskStage::kActive)
+            m_runs[steps[s].tasks[i].worker].insert({key, k, s, i});
+        }
+      }
+    }
+    m_workflows.emplace(key, std::move(workflow));
+  }
+}
+
+}  // namespace fulmarrock
--- /dev/null
+++ b/source/workflow/workflow_state.h
@@ -0,0 +1,168 @@
+#ifndef SOURCE_WORKFLOW_WORKFLOW_STATE_H_
+#define SOURCE_WORKFLOW_WORKFLOW_STATE_H_
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "source/base/error.h"
+#include "source/workflow/workflow_commands.h"
+#include "source/workflow/workflow_record.h"
+
+namespace fulmarrock {
+
+/// Answer to a caller that waits for a command.
+struct WorkflowAnswer {
+  uint64_t token = 0;
+  WorkflowReplyKind kind = WorkflowReplyKind::kAccepted;
+};
+
+/// A run that became or ceased to be active.
+struct RunChange {
+  enum class Kind { kAssigned, kEnded, kReleased };
+  Kind kind = Kind::kAssigned;
+  TaskName task;
+  RunNumber run = 0;
+  WorkerNumber worker = kNoWorkerNumber;
+  /// Only for kEnded.
+  RunEndKind end = RunEndKind::kDone;
+};
+
+/// Events of an agent that are stored.
+struct StoredEvents {
+  NodeId agent;
+  Incarnation incarnation = 0;
+  uint64_t last_sequence = 0;
+};
+
+/// What the leader has to act on after a batch was applied.
+struct WorkflowEffects {
+  std::vector<WorkflowAnswer> answers;
+  std::vector<RunChange> runs;
+  std::vector<StoredEvents> stored;
+  /// Workflows that reached their last phase.
+  std::vector<WorkflowKey> ended;
+  std::vector<WorkerNumber> registered;
+  std::vector<WorkerNumber> forgotten;
+  bool has_new_directory = false;
+  /// Whether the batch assigned runs, accepted or not.
+  bool has_assignments = false;
+
+  bool IsEmpty() const {
+    return answers.empty() && runs.empty() && stored.empty() && ended.empty() &&
+           registered.empty() && forgotten.empty() && !has_new_directory &&
+           !has_assignments;
+  }
+};
+
+/// The replicated part of workflows: queues, workflows, tasks, runs and the
+/// lives of workers. Deterministic; time comes from the commands alone, and
+/// every command is checked, since its proposer may have lost leadership.
+class WorkflowState {
+ public:
+  /// How long the state of an ended workflow can be read.
+  static constexpr Millis kRetention = Millis::FromSeconds(150);
+  /// Submissions beyond this many open workflows are refused.
+  static constexpr size_t kMaxOpen = 20'000;
+  static constexpr uint32_t kMaxTasks = 20'000;
+
+  /// Part of a snapshot.
+  struct Image {
+    QueueDirectory directory;
+    std::vector<WorkflowRecord> workflows;
+    std::vector<WorkerEntry> workers;
+    WorkerNumber last_worker = kNoWorkerNumber;
+
+    template <typename Self, typename Visitor>
+    static void VisitFields(Self& self, Visitor& visitor) {
+      visitor(self.directory, self.workflows, self.workers, self.last_worker);
+    }
+  };
+
+  WorkflowEffects Apply(const WorkflowBatch& batch, Millis now);
+
+  Image Save() const;
+  void Restore(Image image);
+
+  const QueueDirectory& directory() const { return m_directory; }
+  const QueueSettings* FindQueue(std::string_view host,
+                                 std::string_view path) const;
+  /// The queue's settings in force for a workflow.
+  const QueueSettings& QueueOf(const WorkflowRecord& workflow) const;
+
+  const WorkflowRecord* Find(WorkflowKey key) const;
+  const WorkflowTask* FindTask(const TaskName& name) const;
+  const StepSpec* FindStep(const TaskName& name) const;
+
+  /// Workflows that have not ended, or whose runs are not over.
+  const std::set<WorkflowKey>& open() const { return m_open; }
+  const std::map<WorkerNumber, WorkerEntry>& workers() const {
+    return m_workers;
+  }
+  const WorkerEntry* FindWorker(WorkerNumber number) const;
+  /// The newest life that an agent reported.
+  const WorkerEntry* FindWorkerOf(const NodeId& agent) const;
+  /// Active runs of a worker.
+  const std::set<TaskName>& RunsOf(WorkerNumber number) const;
+  /// Accepted workflows of a queue of which no task has started.
+  uint32_t CountPending(const QueueSettings& queue) const;
+  size_t workflow_count() const { return m_workflows.size(); }
+
+ private:
+  void Configure(const ConfigureQueues& command, WorkflowEffects& effects);
+  void Register(const RegisterWorker& command, WorkflowEffects& effects);
+  void Record(const RecordEvents& command, WorkflowEffects& effects);
+  void RecordEvent(const RunEvent& event, WorkflowEffects& effects);
+  void Release(const ReleaseWorker& command, WorkflowEffects& effects);
+  void Submit(const SubmitWorkflow& command, WorkflowEffects& effects);
+  void Cancel(const CancelWorkflow& command, WorkflowEffects& effects);
+  void Assign(const AssignRun& command, WorkflowEffects& effects);
+  bool CanAssign(const AssignRun& command) const;
+  void Add(const SubmitWorkflow& command, const QueueSettings& queue);
+
+  WorkflowRecord* FindOpen(WorkflowKey key);
+  /// Ends the active run of a task; the task waits again or is done.
+  void Deactivate(WorkflowRecord& workflow,
+                  const TaskName& name,
+                  TaskStage next);
+  /// Failed attempts that count against the limit of a task or its gang.
+  static uint32_t CountFailedRuns(const WorkflowRecord& workflow,
+                                  const TaskName& name);
+  void CompleteGang(WorkflowRecord& workflow,
+                    const TaskName& name,
+                    WorkflowEffects& effects);
+  void CheckCompletion(WorkflowRecord& workflow, WorkflowEffects& effects);
+  void End(WorkflowRecord& workflow,
+           WorkflowPhase phase,
+           WorkflowEffects& effects);
+  void CloseIfOver(WorkflowRecord& workflow);
+  void Prune();
+  void CountTasks(WorkflowRecord& workflow);
+
+  Millis m_now;
+  QueueDirectory m_directory;
+  std::map<std::string, size_t, std::less<>> m_queue_by_place;
+  std::unordered_map<WorkflowKey, WorkflowRecord> m_workflows;
+  std::set<WorkflowKey> m_open;
+  // Ended workflows by their end, for pruning.
+  std::set<std::pair<Millis, WorkflowKey>> m_ended;
+  std::map<WorkerNumber, WorkerEntry> m_workers;
+  std::map<NodeId, WorkerNumber> m_worker_by_agent;
+  std::map<WorkerNumber, std::set<TaskName>> m_runs;
+  WorkerNumber m_last_worker = kNoWorkerNumber;
+};
+
+/// Checks a specification: steps, counts, sizes, dependencies. The error names
+/// the first problem.
+Result<void> ValidateWorkflow(const WorkflowSpec& spec);
+
+/// Checks queues and services: known services, distinct places, time limits.
+Result<void> ValidateDirectory(const QueueDirectory& directory);
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_WORKFLOW_WORKFLOW_STATE_H_
--- a/tests/net/operator_front_end_test.cc
+++ b/tests/net/operator_front_end_test.cc
@@ -51,6 +51,11 @@
   std::vector<JobView> ListJobs(std::string_view customer) const override {
     return std::vector<JobView>(customer == "north" ? 1 : 2);
   }
+  void SetDirectory(QueueDirectory, Done<bool> done) override { done(true); }
+  Result<QueueDirectory> GetDirectory() const override {
+    return QueueDirectory();
+  }
+  NodeId LeaderNode() const override { return "c1"; }
   ClusterStatus GetStatus() const override {
     ClusterStatus status;
     status.leader = "c2";
--- a/tests/support/fake_log.cc
+++ b/tests/support/fake_log.cc
@@ -19,6 +19,8 @@
   NodeId Leader() const override { return m_log.m_leader; }
   Term CurrentTerm() const override { return m_log.m_term; }
   LogIndex CommitIndex() const override { return applied; }
+  std::vector<NodeId> SilentMembers(Millis) const override { return {}; }
+  Incarnation OwnIncarnation() const override { return 1; }
   std::vector<Member> Members() const override {
     std::vector<Member> members;
     for (const auto& [node, port] : m_log.m_ports)
