Workflows: Place and pace fillers by the learned pressure of images

Control now fits latency = base + sum(slope x processors) per serving image from agents' figures, places fillers where they add least, and tells agents the slopes; agents pace the fillers of each image by the tasks it disturbs.

Events are now taken only in order, and an agent ignores orders for runs whose end is not stored.

--- /dev/null
+++ b/source/agent/filler_control.h
@@ -0,0 +1,74 @@
+#ifndef SOURCE_AGENT_FILLER_CONTROL_H_
+#define SOURCE_AGENT_FILLER_CONTROL_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "source/agent/filler_pace.h"
+#include "source/message/workflow_messages.h"
+
+namespace fulmarrock {
+
+/// Use of processors by the fillers of one image in one look.
+struct FillerUse {
+  std::string image;
+  int64_t cpu_millicores = 0;
+};
+
+/// Paces the fillers of each image by the latency of those tasks that they are
+/// known, or not yet known not, to disturb. Fillers that disturb nobody beside
+/// them work at full speed.
+class FillerControl {
+ public:
+  using MakePolicy = std::function<std::unique_ptr<FillerPacePolicy>()>;
+
+  explicit FillerControl(MakePolicy make_policy)
+      : m_make_policy(std::move(make_policy)) {}
+
+  /// Forgets the figures of an earlier life of the worker.
+  void Reset();
+
+  /// Takes what control knows of the images.
+  void SetSlopes(std::span<const PressureSlope> slopes);
+
+  /// Takes the figures of one look.
+  void Update(std::span<const ServingFigure> serving,
+              std::span<const FillerUse> uses,
+              Millis now);
+
+  /// Share at which fillers of an image work, in percent.
+  int64_t PercentOf(std::string_view image) const;
+
+  /// Figures for control.
+  std::vector<FillerFigure> Figures() const;
+  const std::vector<ServingFigure>& serving() const { return m_serving; }
+
+ private:
+  struct Image {
+    std::unique_ptr<FillerPacePolicy> policy;
+    int64_t percent = 100;
+    double smoothed_cpu = 0;
+    /// What they use at full speed, as far as seen.
+    int64_t full_cpu = 0;
+    Millis seen_at;
+  };
+
+  void Smooth(std::span<const FillerUse> uses, Millis now);
+  ServingLatency LatencyFor(const std::string& image,
+                            const Image& state) const;
+
+  const MakePolicy m_make_policy;
+  std::map<std::string, Image, std::less<>> m_images;
+  std::map<std::string, std::map<std::string, double>> m_slopes;
+  std::vector<ServingFigure> m_serving;
+  Millis m_updated_at;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_AGENT_FILLER_CONTROL_H_
--- a/source/agent/run_table.cc
+++ b/source/agent/run_table.cc
@@ -29,6 +29,13 @@
   }
 }
 
+bool RunEventQueue::Holds(const TaskName& task, RunNumber run) const {
+  return std::any_of(m_events.begin(), m_events.end(),
+                     [&](const RunEvent& event) {
+                       return event.task == task && event.run == run;
+                     });
+}
+
 void RunEventQueue::ForgetNumbers() {
   std::fill(m_numbers.begin(), m_numbers.end(), 0);
   m_last_end = 0;
--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -25,6 +25,11 @@
 /// Shortest time between looks.
 constexpr Millis kLookPause{20};
 
+/// Figures of latencies and fillers go to control this often.
+constexpr Millis kFigureInterval{500};
+/// A lasting task is at work from this share of its start-up on.
+constexpr int64_t kAtWorkPercent = 100;
+
 constexpr Millis kStopRetry{500};
 constexpr Millis kReachableFor{2'500};
 
@@ -45,16 +50,16 @@
                                const Clock& clock,
                                Transport& transport,
                                RunClient& client,
-                               std::unique_ptr<FillerPacePolicy> pace,
+                               FillerControl::MakePolicy make_pace,
                                DecisionLog& decisions)
     : m_options(std::move(options)),
       m_clock(clock),
       m_transport(transport),
       m_client(client),
-      m_pace(std::move(pace)),
       m_decisions(decisions),
       m_contact(m_options.control_members),
-      m_lease(clock.Now(), m_options.longest_lease_step) {}
+      m_lease(clock.Now(), m_options.longest_lease_step),
+      m_fillers(std::move(make_pace)) {}
 
 bool WorkflowRunner::OnAnnouncement(const WorkerAnnouncement& announcement) {
   const Millis now = m_clock.Now();
@@ -103,8 +108,8 @@
   m_has_looked = false;
   m_needs_full = true;
   m_next_look = now;
-  m_filler_percent = 100;
-  m_filler_cpu = -1;
+  m_fillers.Reset();
+  m_has_figures = false;
   if (!is_first)
     m_lease.ResetWorker(now);
   m_client.SetWorker(announcement.life, announcement.address);
@@ -140,10 +145,16 @@
     m_counters.Add("agent_stale_orders");
     return;
   }
+  if (orders.term != m_term) {
+    // The new leader may have none of the events that its predecessor got.
+    m_sent_sequence = m_events.stored_sequence();
+    m_is_report_urgent = true;
+  }
   m_term = orders.term;
   m_contact.AddMembers(orders.members);
   m_contact.OnLeader(from, now);
   m_events.OnStored(orders.stored_sequence);
+  m_fillers.SetSlopes(orders.slopes);
   if (!m_worker || !(orders.life == m_worker->life))
     return;
   m_needs_full |= orders.needs_full;
@@ -176,6 +187,9 @@
       m_confirmed.push_back({order.task, order.run});
     return;
   }
+  // Control has yet to hear that this run ended.
+  if (m_events.Holds(order.task, order.run))
+    return;
   const bool may_start = m_worker && !m_worker->is_leaving && !m_has_left &&
                          !m_is_stopping && m_has_looked;
   if (!may_start) {
@@ -298,6 +312,11 @@
                             RunEndKind kind,
                             std::string checkpoint,
                             uint64_t end_number) {
+  m_decisions.Write(DecisionLine("run_ended")
+                        .With("task", ToString(task))
+                        .With("run", int64_t{run})
+                        .With("outcome", ToString(kind))
+                        .With("end_number", static_cast<int64_t>(end_number)));
   m_events.Add(task, run, kind, std::move(checkpoint), end_number);
   m_is_report_urgent = true;
   const auto it = m_runs.find(task);
@@ -377,7 +396,7 @@
   FollowEnds(*answer);
   FollowRows(*answer, sent_at);
   m_has_looked = true;
-  UpdatePace(*answer);
+  UpdatePaces(*answer);
   SendPaces();
   if (m_is_report_urgent && IsReportDue())
     SendReport();
@@ -451,34 +470,24 @@
   local.progress_at = m_clock.Now();
 }
 
-void WorkflowRunner::UpdatePace(const LookAnswer& answer) {
-  ServingLatency latency;
-  int64_t filler_cpu = 0;
-  bool has_filler = false;
+void WorkflowRunner::UpdatePaces(const LookAnswer& answer) {
+  std::vector<ServingFigure> serving;
+  std::vector<FillerUse> uses;
   for (const RunRow& row : answer.running) {
     const auto it = m_runs.find(row.task);
-    if (it == m_runs.end() || row.figure < 0)
+    if (it == m_runs.end())
       continue;
     const StartOrder& order = it->second.order;
     if (order.is_filler) {
-      has_filler = true;
-      filler_cpu += row.figure;
-    }
-    if (order.latency_target > Millis(0)) {
-      latency.worst_percent =
-          std::max(latency.worst_percent,
-                   row.figure * 100 / order.latency_target.count());
+      uses.push_back({order.image, row.figure});
+    } else if (order.latency_target > Millis(0) && row.figure >= 0 &&
+               row.percent >= kAtWorkPercent) {
+      serving.push_back(
+          {order.image, row.figure * 100 / order.latency_target.count()});
     }
   }
-  m_filler_cpu = has_filler ? filler_cpu : -1;
-  const int64_t percent = m_pace->Update(latency, m_clock.Now());
-  if (percent == m_filler_percent)
-    return;
-  m_decisions.Write(DecisionLine("filler_pace")
-                        .With("worst_latency_percent", latency.worst_percent)
-                        .With("from", m_filler_percent)
-                        .With("to", percent));
-  m_filler_percent = percent;
+  m_has_figures = !serving.empty();
+  m_fillers.Update(serving, uses, m_clock.Now());
 }
 
 void WorkflowRunner::SendPaces() {
@@ -488,13 +497,17 @@
   if (is_repeat)
     m_next_pace_repeat = now + kPaceRepeat;
   for (auto& [task, local] : m_runs) {
-    const bool is_due = local.pace_percent != m_filler_percent || is_repeat;
+    const int64_t percent = m_fillers.PercentOf(local.order.image);
+    const bool is_due = local.pace_percent != percent || is_repeat;
     if (!local.order.is_filler || local.stage != RunStage::kRunning ||
         local.is_pace_in_flight || !is_due) {
       continue;
     }
     local.is_pace_in_flight = true;
-    const int64_t percent = m_filler_percent;
+    m_decisions.Write(DecisionLine("filler_pace")
+                          .With("task", ToString(task))
+                          .With("from", local.pace_percent)
+                          .With("to", percent));
     m_client.SetPace(task, local.run, percent, m_term,
                      [this, name = task, run = local.run, percent,
                       life = m_life_number](bool is_answered) {
@@ -606,9 +619,15 @@
       report.events.push_back(event);
   }
   m_sent_sequence = m_events.last_sequence();
+  report.stored_sequence = m_events.stored_sequence();
   report.stalls = FindStalls();
-  report.filler_percent = static_cast<uint32_t>(m_filler_percent);
-  report.filler_cpu_millicores = -1;
+  if (m_has_figures && now - m_figures_sent >= kFigureInterval) {
+    m_figures_sent = now;
+    m_has_figures = false;
+    report.has_figures = true;
+    report.serving = m_fillers.serving();
+    report.fillers = m_fillers.Figures();
+  }
   return report;
 }
 
@@ -635,7 +654,6 @@
       {"is_granted", m_lease.IsGranted(m_clock.Now())},
       {"leader", m_contact.leader()},
       {"unstored_events", m_events.events().size()},
-      {"filler_percent", m_filler_percent},
       {"runs", std::move(runs)}};
   return state.dump();
 }
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "source/agent/filler_pace.h"
+#include "source/agent/filler_control.h"
 #include "source/agent/run_client.h"
 #include "source/agent/run_table.h"
 #include "source/agent/worker_lease.h"
@@ -53,7 +53,7 @@
                  const Clock& clock,
                  Transport& transport,
                  RunClient& client,
-                 std::unique_ptr<FillerPacePolicy> pace,
+                 FillerControl::MakePolicy make_pace,
                  DecisionLog& decisions);
 
   /// The worker spoke. Returns whether its word was taken; a word of an earlier
@@ -102,7 +102,7 @@
   void FollowRows(const LookAnswer& answer, Millis sent_at);
   void SettleUnlisted(const std::set<TaskName>& listed, Millis sent_at);
   void FollowProgress(LocalRun& local, const RunRow& row);
-  void UpdatePace(const LookAnswer& answer);
+  void UpdatePaces(const LookAnswer& answer);
   void SendPaces();
   std::vector<RunStall> FindStalls() const;
 
@@ -117,7 +117,6 @@
   const Clock& m_clock;
   Transport& m_transport;
   RunClient& m_client;
-  const std::unique_ptr<FillerPacePolicy> m_pace;
   DecisionLog& m_decisions;
   Counters m_counters;
   GroupContact m_contact;
@@ -137,8 +136,9 @@
   bool m_is_looking = false;
   bool m_has_looked = false;
   Millis m_next_look;
-  int64_t m_filler_percent = 100;
-  int64_t m_filler_cpu = -1;
+  FillerControl m_fillers;
+  bool m_has_figures = false;
+  Millis m_figures_sent;
   // Pace orders without an answer may still be carried out until then.
   Millis m_repeat_paces_until;
   Millis m_next_pace_repeat;
--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -31,6 +31,10 @@
     m_worker = worker;
     m_needs_full = true;
   }
+  if (report.has_figures || worker != m_worker) {
+    m_serving = report.serving;
+    m_fillers = report.fillers;
+  }
   m_report = report;
   m_report.events.clear();
   m_report.listed.clear();
@@ -79,9 +83,12 @@
 
 std::vector<RunEvent> WorkerLink::TakeEvents(const WorkerReport& report) {
   std::vector<RunEvent> events;
+  m_proposed_sequence = std::max(m_proposed_sequence, report.stored_sequence);
   for (const RunEvent& event : report.events) {
-    if (event.sequence <= m_proposed_sequence || events.size() >= kMaxEvents)
+    if (event.sequence != m_proposed_sequence + 1 ||
+        events.size() >= kMaxEvents) {
       continue;
+    }
     events.push_back(event);
     m_proposed_sequence = event.sequence;
   }
@@ -144,6 +151,7 @@
   }
   orders.stops.insert(orders.stops.end(), m_strays.begin(), m_strays.end());
   m_strays.clear();
+  orders.slopes = std::exchange(m_slopes, {});
   return orders;
 }
 
@@ -158,6 +166,8 @@
   order.is_filler = step.is_filler;
   order.latency_target = step.latency_target;
   order.is_lasting = step.is_lasting;
+  order.image = step.image;
+  order.cpu_millicores = step.cpu_millicores;
   return order;
 }
 
--- a/source/control/worker_link.h
+++ b/source/control/worker_link.h
@@ -28,7 +28,9 @@
   /// a report of that life.
   bool Attach(WorkerNumber worker, const WorkerLife& life);
 
-  /// Events that are not proposed yet; they count as proposed from now on.
+  /// Events that are not proposed yet; they count as proposed from now on. An
+  /// event is taken only after all earlier ones, because the agent forgets
+  /// every event up to the last one that is stored.
   std::vector<RunEvent> TakeEvents(const WorkerReport& report);
 
   void OnStored(const StoredEvents& stored);
@@ -40,6 +42,15 @@
   /// A run is over.
   void OnRunOver(const TaskName& task);
 
+  /// What the next message tells the agent of the images.
+  void SetSlopes(std::vector<PressureSlope> slopes) {
+    m_slopes = std::move(slopes);
+  }
+
+  /// Latest figures that the agent sent.
+  const std::vector<ServingFigure>& serving() const { return m_serving; }
+  const std::vector<FillerFigure>& fillers() const { return m_fillers; }
+
   /// Whether orders are due at this time.
   bool HasDueOrders(Millis now) const;
 
@@ -85,6 +96,9 @@
   bool m_must_describe = true;
   uint64_t m_proposed_sequence = 0;
   uint64_t m_stored_sequence = 0;
+  std::vector<ServingFigure> m_serving;
+  std::vector<FillerFigure> m_fillers;
+  std::vector<PressureSlope> m_slopes;
   // Orders that the agent has not confirmed.
   Orders m_starts;
   Orders m_stops;
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -15,6 +15,9 @@
 /// because pauses of workers end.
 constexpr Millis kReplanAfter{100};
 
+/// How often agents are told what is known of the images.
+constexpr Millis kSlopeInterval{1'500};
+
 /// When a caller that was refused may come again.
 constexpr Millis kRetryAfter{1'000};
 
@@ -45,6 +48,8 @@
   m_is_dirty = true;
   m_next_plan = now;
   m_leases.Reset(now);
+  m_pressure.Clear();
+  m_next_slopes = now;
   for (const auto& [number, worker] : m_state.workers())
     m_leases.Add(number);
   m_scheduler.Rebuild();
@@ -206,6 +211,8 @@
     next.events.push_back({from, report.agent, std::move(events)});
   if (report.has_lapsed && !m_state.RunsOf(entry->number).empty())
     next.releases.push_back({entry->number, false});
+  if (report.has_figures)
+    m_pressure.Record(report.serving, report.fillers);
   OnStalls(link, report, now);
   if (!report.is_taking && !report.has_lapsed)
     MoveRunsAway(link);
@@ -266,9 +273,21 @@
 void WorkflowService::OnTick(const PlanningTime& time, WorkflowBatch& next) {
   ReleaseExpired(time, next);
   Plan(time, next);
+  SendSlopes(time.now);
   SendDueOrders(time.now);
 }
 
+void WorkflowService::SendSlopes(Millis now) {
+  if (now < m_next_slopes)
+    return;
+  m_next_slopes = now + kSlopeInterval;
+  const std::vector<PressureSlope> slopes = m_pressure.KnownSlopes();
+  if (slopes.empty())
+    return;
+  for (auto& [agent, link] : m_links)
+    link.SetSlopes(slopes);
+}
+
 void WorkflowService::ReleaseExpired(const PlanningTime& time,
                                      WorkflowBatch& next) {
   for (const WorkerNumber worker : m_leases.TakeExpired(time.now)) {
@@ -309,8 +328,7 @@
       continue;
     }
     statuses[link.worker()] = {report.is_taking && !report.has_lapsed,
-                               report.filler_percent,
-                               report.filler_cpu_millicores};
+                               link.serving(), link.fillers()};
   }
   return statuses;
 }
--- a/source/control/workflow_service.h
+++ b/source/control/workflow_service.h
@@ -89,6 +89,8 @@
   void StopWorkflow(WorkflowKey key);
   void MoveRunsAway(WorkerLink& link);
   void OnStalls(WorkerLink& link, const WorkerReport& report, Millis now);
+  /// Tells the agents from time to time what is known of the images.
+  void SendSlopes(Millis now);
   void ReleaseExpired(const PlanningTime& time, WorkflowBatch& next);
   void Plan(const PlanningTime& time, WorkflowBatch& next);
   std::map<WorkerNumber, WorkerStatus> Statuses(Millis now) const;
@@ -108,7 +110,9 @@
   const ReplicatedLog* m_log = nullptr;
 
   ObjectiveOrder m_order;
-  SharedRunPlacement m_placement;
+  LinearPressureModel m_pressure;
+  SharedRunPlacement m_placement{m_pressure};
+  Millis m_next_slopes;
   WorkflowScheduler m_scheduler;
   WorkerLeases m_leases;
   std::map<NodeId, WorkerLink> m_links;
--- a/source/daemon/workflow_host.cc
+++ b/source/daemon/workflow_host.cc
@@ -49,7 +49,7 @@
     m_client = std::make_unique<platform::HttpRunClient>(loop, decisions);
     m_runner = std::make_unique<WorkflowRunner>(
         std::move(options), clock, transport, *m_client,
-        std::make_unique<LatencyGuidedPace>(), decisions);
+        [] { return std::make_unique<LatencyGuidedPace>(); }, decisions);
     if (!m_settings.worker_listen.empty())
       platform::ServeWorker(*m_runner, AddServer(m_settings.worker_listen));
   }
--- a/source/message/workflow_messages.h
+++ b/source/message/workflow_messages.h
@@ -120,6 +120,46 @@
   }
 };
 
+/// Tail latency of a task that serves.
+struct ServingFigure {
+  std::string image;
+  /// In percent of its target.
+  int64_t latency_percent = 0;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.image, self.latency_percent);
+  }
+};
+
+/// What the fillers of one image do on a worker.
+struct FillerFigure {
+  std::string image;
+  /// Processors in use, smoothed over the time that latencies take to follow.
+  int64_t cpu_millicores = 0;
+  /// Share of full speed at which they were told to work.
+  int64_t pace_percent = 100;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.image, self.cpu_millicores, self.pace_percent);
+  }
+};
+
+/// How much fillers of one image disturb tasks of another that serve.
+struct PressureSlope {
+  std::string serving_image;
+  std::string filler_image;
+  /// Growth of the tail latency, in percent of its target, for each processor
+  /// that the fillers use.
+  double percent_per_core = 0;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.serving_image, self.filler_image, self.percent_per_core);
+  }
+};
+
 /// Agent to control: the worker beside it. Sent on events and as a heartbeat.
 struct WorkerReport {
   /// Of the agent process.
@@ -136,18 +176,21 @@
   /// confirmed since the last report.
   bool is_full = false;
   std::vector<RunListing> listed;
+  /// Events up to here are stored, as far as the agent knows.
+  uint64_t stored_sequence = 0;
   std::vector<RunEvent> events;
   std::vector<RunStall> stalls;
-  /// Share at which filler tasks work, in percent.
-  uint32_t filler_percent = 100;
-  /// Processor use of the filler tasks in millicores, as measured last.
-  int64_t filler_cpu_millicores = 0;
+  /// Both only in reports with new figures.
+  std::vector<ServingFigure> serving;
+  std::vector<FillerFigure> fillers;
+  bool has_figures = false;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.agent, self.sent_at, self.life, self.offer, self.is_taking,
-            self.has_lapsed, self.is_full, self.listed, self.events,
-            self.stalls, self.filler_percent, self.filler_cpu_millicores);
+            self.has_lapsed, self.is_full, self.listed, self.stored_sequence,
+            self.events, self.stalls, self.serving, self.fillers,
+            self.has_figures);
   }
 };
 
@@ -162,11 +205,15 @@
   /// Objective for the tail latency; zero for a task that does not serve.
   Millis latency_target;
   bool is_lasting = false;
+  /// Name of what the task runs.
+  std::string image;
+  int64_t cpu_millicores = 0;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.task, self.run, self.payload, self.checkpoint, self.estimate,
-            self.is_filler, self.latency_target, self.is_lasting);
+            self.is_filler, self.latency_target, self.is_lasting, self.image,
+            self.cpu_millicores);
   }
 };
 
@@ -186,12 +233,14 @@
   std::vector<StartOrder> starts;
   std::vector<RunListing> stops;
   std::vector<NodeId> members;
+  /// What is known of the images' pressure on each other; only when it changed.
+  std::vector<PressureSlope> slopes;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.term, self.agent, self.life, self.report_sent_at, self.lease,
             self.needs_full, self.stored_sequence, self.starts, self.stops,
-            self.members);
+            self.members, self.slopes);
   }
 };
 
--- /dev/null
+++ b/source/workflow/pressure_model.h
@@ -0,0 +1,95 @@
+#ifndef SOURCE_WORKFLOW_PRESSURE_MODEL_H_
+#define SOURCE_WORKFLOW_PRESSURE_MODEL_H_
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "source/message/workflow_messages.h"
+
+namespace fulmarrock {
+
+/// What is expected of a pair of images.
+struct Pressure {
+  /// Growth of the tail latency, in percent of its target, for each processor
+  /// that the fillers use.
+  double percent_per_core = 0;
+  /// Whether enough was measured to rely on it.
+  bool is_known = false;
+};
+
+/// Learns how fillers of each image raise the tail latency of tasks of other
+/// images that serve.
+class PressureModel {
+ public:
+  virtual ~PressureModel() = default;
+
+  /// Takes the figures of one worker at one moment.
+  virtual void Record(std::span<const ServingFigure> serving,
+                      std::span<const FillerFigure> fillers) = 0;
+
+  virtual Pressure Expect(std::string_view serving_image,
+                          std::string_view filler_image) const = 0;
+
+  /// Expected latency, in percent of the target, without any filler.
+  virtual double BaseOf(std::string_view serving_image) const = 0;
+
+  /// All known pairs.
+  virtual std::vector<PressureSlope> KnownSlopes() const = 0;
+
+  virtual void Clear() = 0;
+};
+
+/// Baseline: no pair disturbs.
+class NoPressureModel : public PressureModel {
+ public:
+  void Record(std::span<const ServingFigure>,
+              std::span<const FillerFigure>) override {}
+  Pressure Expect(std::string_view, std::string_view) const override {
+    return {};
+  }
+  double BaseOf(std::string_view) const override { return 0; }
+  std::vector<PressureSlope> KnownSlopes() const override { return {}; }
+  void Clear() override {}
+};
+
+/// A linear model for each serving image: latency = base + the sum over filler
+/// images of slope times processors used. The coefficients follow from
+/// recursive least squares, with some noise added at each step so that old
+/// measurements fade.
+class LinearPressureModel : public PressureModel {
+ public:
+  void Record(std::span<const ServingFigure> serving,
+              std::span<const FillerFigure> fillers) override;
+  Pressure Expect(std::string_view serving_image,
+                  std::string_view filler_image) const override;
+  double BaseOf(std::string_view serving_image) const override;
+  std::vector<PressureSlope> KnownSlopes() const override;
+  void Clear() override;
+
+ private:
+  /// Estimate of one serving image. Index 0 is the base.
+  struct Estimate {
+    std::vector<double> mean;
+    /// Covariance of the coefficients, row by row.
+    std::vector<std::vector<double>> covariance;
+  };
+
+  size_t IndexOf(std::string_view filler_image);
+  std::optional<size_t> FindIndex(std::string_view filler_image) const;
+  static void Grow(Estimate& estimate, size_t size);
+  static void Update(Estimate& estimate,
+                     const std::vector<double>& inputs,
+                     double latency_percent);
+
+  // Position of each filler image among the coefficients, from 1.
+  std::map<std::string, size_t, std::less<>> m_indices;
+  std::map<std::string, Estimate, std::less<>> m_estimates;
+};
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_WORKFLOW_PRESSURE_MODEL_H_
--- a/source/workflow/run_placement.cc
+++ b/source/workflow/run_placement.cc
@@ -1,7 +1,6 @@
 #include "source/workflow/run_placement.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace fulmarrock {
 namespace {
@@ -10,46 +9,31 @@
 /// full speed, in percent.
 constexpr int64_t kLowestFillerSpeed = 70;
 
+/// A filler goes nowhere where a latency would exceed this part of its target,
+/// in percent, because of it.
+constexpr double kHighestLatency = 85;
+/// Growth of a latency, in percent of its target, that is put up with.
+constexpr double kNegligiblePressure = 5;
+/// Workers whose latencies would grow by about as much are equally good.
+constexpr double kPressureStep = 10;
+
 bool HasLabel(const WorkerOffer& offer, std::string_view label) {
   return std::find(offer.labels.begin(), offer.labels.end(), label) !=
          offer.labels.end();
 }
 
 /// Expected speed of a filler that joins the others, in percent of full speed.
-int64_t FillerSpeed(const WorkerCandidate& candidate, int64_t cpu) {
-  const int64_t idle = candidate.measured_filler_cpu >= 0
-                           ? candidate.measured_filler_cpu
-                           : candidate.room->ExpectedIdleCpu();
-  const int64_t wanted =
-      std::max<int64_t>(candidate.room->filler_cpu() + cpu, 1);
-  return std::min<int64_t>(idle * 100 / wanted, 100) *
-         candidate.filler_percent / 100;
-}
-
-/// Lower is better, field by field.
-struct Cost {
-  int distrust = 0;
-  int distance = 0;
-  uint32_t siblings = 0;
-  int64_t measure = 0;
-
-  auto operator<=>(const Cost&) const = default;
-};
-
-Cost CostOf(const RunRequest& request, const WorkerCandidate& candidate) {
-  const StepSpec& step = *request.step;
-  Cost cost;
-  cost.distrust = request.is_last_attempt && !candidate.is_trusted ? 1 : 0;
-  if (!step.data_rack.empty() && !HasLabel(*candidate.offer, step.data_rack))
-    cost.distance = 1;
-  if (step.is_filler) {
-    cost.measure = -FillerSpeed(candidate, step.cpu_millicores);
-    return cost;
+int64_t FillerSpeed(const RunRequest& request,
+                    const WorkerCandidate& candidate) {
+  const int64_t wanted = std::max<int64_t>(
+      candidate.room->filler_cpu() + request.step->cpu_millicores, 1);
+  const int64_t idle = std::max<int64_t>(candidate.room->ExpectedIdleCpu(), 0);
+  int64_t pace = 100;
+  for (const FillerFigure& figure : candidate.fillers) {
+    if (figure.image == request.step->image)
+      pace = figure.pace_percent;
   }
-  if (step.is_lasting)
-    cost.siblings = candidate.room->CountOfWorkflow(request.task.workflow);
-  cost.measure = candidate.room->free_cpu();
-  return cost;
+  return std::min<int64_t>(idle * 100 / wanted, 100) * pace / 100;
 }
 
 }  // namespace
@@ -79,6 +63,17 @@
   return std::nullopt;
 }
 
+struct SharedRunPlacement::Cost {
+  int distrust = 0;
+  int distance = 0;
+  uint32_t siblings = 0;
+  /// For fillers: added latency in steps of kPressureStep.
+  int64_t pressure = 0;
+  int64_t measure = 0;
+
+  auto operator<=>(const Cost&) const = default;
+};
+
 std::optional<size_t> SharedRunPlacement::Choose(
     const RunRequest& request,
     std::span<const WorkerCandidate> candidates) const {
@@ -87,19 +82,75 @@
   for (size_t i = 0; i < candidates.size(); ++i) {
     if (!MayRun(request, candidates[i]))
       continue;
-    const Cost cost = CostOf(request, candidates[i]);
-    if (!best || cost < best_cost) {
+    const std::optional<Cost> cost = CostOf(request, candidates[i]);
+    if (cost && (!best || *cost < best_cost)) {
       best = i;
-      best_cost = cost;
+      best_cost = *cost;
     }
   }
-  const bool is_too_slow =
-      best && request.step->is_filler && !request.is_starving &&
-      FillerSpeed(candidates[*best], request.step->cpu_millicores) <
-          kLowestFillerSpeed;
-  if (is_too_slow)
-    return std::nullopt;
   return best;
 }
 
+std::optional<SharedRunPlacement::Cost> SharedRunPlacement::CostOf(
+    const RunRequest& request,
+    const WorkerCandidate& candidate) const {
+  const StepSpec& step = *request.step;
+  if (step.is_filler)
+    return FillerCostOf(request, candidate);
+  Cost cost;
+  cost.distrust = request.is_last_attempt && !candidate.is_trusted ? 1 : 0;
+  if (!step.data_rack.empty() && !HasLabel(*candidate.offer, step.data_rack))
+    cost.distance = 1;
+  if (step.is_lasting)
+    cost.siblings = candidate.room->CountOfWorkflow(request.task.workflow);
+  cost.measure = candidate.room->free_cpu();
+  return cost;
+}
+
+double SharedRunPlacement::ComingPressure(
+    const ServingFigure& figure,
+    const WorkerCandidate& candidate) const {
+  double coming = 0;
+  for (const auto& [image, cpu] : candidate.room->filler_cpu_by_image()) {
+    int64_t measured = 0;
+    for (const FillerFigure& filler : candidate.fillers) {
+      if (filler.image == image)
+        measured = filler.cpu_millicores;
+    }
+    const double cores =
+        static_cast<double>(std::max<int64_t>(cpu - measured, 0)) / 1'000;
+    coming += m_pressure.Expect(figure.image, image).percent_per_core * cores;
+  }
+  return coming;
+}
+
+std::optional<SharedRunPlacement::Cost> SharedRunPlacement::FillerCostOf(
+    const RunRequest& request,
+    const WorkerCandidate& candidate) const {
+  const StepSpec& step = *request.step;
+  const double cores = static_cast<double>(step.cpu_millicores) / 1'000;
+  double pressure = 0;
+  bool goes_over_target = false;
+  for (const ServingFigure& figure : candidate.serving) {
+    const double added =
+        m_pressure.Expect(figure.image, step.image).percent_per_core * cores;
+    pressure += added;
+    const double expected = static_cast<double>(figure.latency_percent) +
+                            ComingPressure(figure, candidate) + added;
+    goes_over_target |=
+        added > kNegligiblePressure && expected > kHighestLatency;
+  }
+  const int64_t speed = FillerSpeed(request, candidate);
+  const bool is_unfit = goes_over_target || speed < kLowestFillerSpeed;
+  if (is_unfit && !request.is_starving)
+    return std::nullopt;
+  Cost cost;
+  cost.distrust = request.is_last_attempt && !candidate.is_trusted ? 1 : 0;
+  if (!step.data_rack.empty() && !HasLabel(*candidate.offer, step.data_rack))
+    cost.distance = 1;
+  cost.pressure = static_cast<int64_t>(pressure / kPressureStep);
+  cost.measure = -speed;
+  return cost;
+}
+
 }  // namespace fulmarrock
--- a/source/workflow/run_placement.h
+++ b/source/workflow/run_placement.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <span>
 
+#include "source/workflow/pressure_model.h"
 #include "source/workflow/worker_room.h"
 #include "source/workflow/workflow_commands.h"
 
@@ -14,11 +15,9 @@
   WorkerNumber number = kNoWorkerNumber;
   const WorkerOffer* offer = nullptr;
   WorkerRoom* room = nullptr;
-  /// Share at which fillers may work there now, in percent.
-  uint32_t filler_percent = 100;
-  /// Processors that its fillers were measured to use, in millicores; negative
-  /// when nothing limits them there.
-  int64_t measured_filler_cpu = -1;
+  /// Latest figures of the tasks that serve and of the fillers there.
+  std::span<const ServingFigure> serving;
+  std::span<const FillerFigure> fillers;
   /// Whether nothing speaks against the worker.
   bool is_trusted = true;
   /// Whether the worker may get no more than one run now.
@@ -60,12 +59,33 @@
 
 /// Places near the data, spreads the lasting tasks of a workflow over workers
 /// and racks, packs other tasks to keep large gaps, and gives fillers to the
-/// worker where they run fastest. A filler waits where it would be slow.
+/// worker where they disturb least and run fastest. A filler waits while it
+/// would run slowly, or push a latency over its target, everywhere.
 class SharedRunPlacement : public RunPlacement {
  public:
+  /// The model outlives the placement.
+  explicit SharedRunPlacement(const PressureModel& pressure)
+      : m_pressure(pressure) {}
+
   std::optional<size_t> Choose(
       const RunRequest& request,
       std::span<const WorkerCandidate> candidates) const override;
+
+ private:
+  struct Cost;
+
+  /// Lower is better; nothing where the task should not go now.
+  std::optional<Cost> CostOf(const RunRequest& request,
+                             const WorkerCandidate& candidate) const;
+  std::optional<Cost> FillerCostOf(const RunRequest& request,
+                                   const WorkerCandidate& candidate) const;
+
+  /// Growth of a latency, in percent of its target, that the fillers on a
+  /// worker are still to cause: they started after its figures were measured.
+  double ComingPressure(const ServingFigure& figure,
+                        const WorkerCandidate& candidate) const;
+
+  const PressureModel& m_pressure;
 };
 
 }  // namespace fulmarrock
--- a/source/workflow/worker_room.cc
+++ b/source/workflow/worker_room.cc
@@ -46,7 +46,10 @@
   Resources amount = step.resources();
   if (step.is_filler) {
     m_filler_cpu += sign * amount.cpu_millicores;
-    m_filler_count += static_cast<uint32_t>(sign);
+    int64_t& of_image = m_filler_cpu_by_image[step.image];
+    of_image += sign * amount.cpu_millicores;
+    if (of_image == 0)
+      m_filler_cpu_by_image.erase(step.image);
     amount.cpu_millicores = 0;
   } else if (step.is_lasting) {
     m_lasting_cpu += sign * amount.cpu_millicores;
--- a/source/workflow/worker_room.h
+++ b/source/workflow/worker_room.h
@@ -2,6 +2,7 @@
 #define SOURCE_WORKFLOW_WORKER_ROOM_H_
 
 #include <map>
+#include <string>
 #include <utility>
 
 #include "source/base/resources.h"
@@ -33,7 +34,10 @@
   int64_t ExpectedIdleCpu() const;
   /// Processors that the fillers would use at full speed, in millicores.
   int64_t filler_cpu() const { return m_filler_cpu; }
-  uint32_t filler_count() const { return m_filler_count; }
+  /// The same by image.
+  const std::map<std::string, int64_t>& filler_cpu_by_image() const {
+    return m_filler_cpu_by_image;
+  }
   /// Tasks of one occurrence's step, and of a whole workflow.
   uint32_t CountOfStep(const TaskName& task) const;
   uint32_t CountOfWorkflow(WorkflowKey workflow) const;
@@ -54,7 +58,7 @@
   Resources m_used;
   int64_t m_lasting_cpu = 0;
   int64_t m_filler_cpu = 0;
-  uint32_t m_filler_count = 0;
+  std::map<std::string, int64_t> m_filler_cpu_by_image;
   std::map<StepKey, uint32_t> m_by_step;
   std::map<WorkflowKey, uint32_t> m_by_workflow;
 };
--- a/source/workflow/workflow_scheduler.cc
+++ b/source/workflow/workflow_scheduler.cc
@@ -134,8 +134,8 @@
     candidate.number = number;
     candidate.offer = &entry->offer;
     candidate.room = &RoomFor(number);
-    candidate.filler_percent = status.filler_percent;
-    candidate.measured_filler_cpu = status.measured_filler_cpu;
+    candidate.serving = status.serving;
+    candidate.fillers = status.fillers;
     candidate.is_trusted = m_health.IsTrusted(number);
     candidate.is_probe = m_health.IsAside(number);
     candidates.push_back(candidate);
--- a/source/workflow/workflow_scheduler.h
+++ b/source/workflow/workflow_scheduler.h
@@ -16,8 +16,8 @@
 /// What the leader knows of a worker beyond the replicated state.
 struct WorkerStatus {
   bool is_taking = false;
-  uint32_t filler_percent = 100;
-  int64_t measured_filler_cpu = -1;
+  std::span<const ServingFigure> serving;
+  std::span<const FillerFigure> fillers;
 };
 
 /// Times of one planning round.
