Workflows: Let lasting tasks of one image share workers

The most wanted filler image disturbs two of four serving images, and spreading each workflow's lasting tasks had put one of these on nearly every worker.

Lasting tasks now go where their image already serves, then to the emptiest worker. Agents derive the share of a filler from its known slopes and the room below the target, and fall back to the latency alone for unknown pairs.

--- a/source/agent/filler_control.cc
+++ b/source/agent/filler_control.cc
@@ -13,6 +13,12 @@
 /// of its target, are not slowed down for it.
 constexpr double kNegligiblePercent = 6;
 
+/// Latency, in percent of the target, that expected shares aim at.
+constexpr double kAimedPercent = 82;
+
+/// Largest growth of a share from one look to the next, in percent.
+constexpr int64_t kStepUpPercent = 20;
+
 /// An image that was not seen for this long starts again at full speed.
 constexpr Millis kForgetAfter{4'000};
 
@@ -42,7 +48,7 @@
       continue;
     }
     Image& image = it->second;
-    image.percent = image.policy->Update(LatencyFor(it->first, image), now);
+    image.percent = ChoosePercent(it->first, image, now);
     ++it;
   }
 }
@@ -70,26 +76,70 @@
   }
 }
 
+int64_t FillerControl::ChoosePercent(const std::string& name,
+                                     Image& image,
+                                     Millis now) {
+  const std::optional<int64_t> expected = ExpectedShare(name, image);
+  const int64_t guided = image.policy->Update(LatencyFor(name, image), now);
+  if (!expected)
+    return guided;
+  // The policy reacts to latencies alone. It goes first only while it slows
+  // down, which shows that the expectation is too high.
+  const int64_t limit = guided < image.percent ? guided : 100;
+  const int64_t step = image.percent + kStepUpPercent;
+  return std::min({*expected, step, std::max(limit, int64_t{0})});
+}
+
+std::optional<double> FillerControl::SlopeOf(const std::string& filler,
+                                             const std::string& serving) const {
+  const auto slopes = m_slopes.find(filler);
+  if (slopes == m_slopes.end())
+    return std::nullopt;
+  const auto slope = slopes->second.find(serving);
+  if (slope == slopes->second.end())
+    return std::nullopt;
+  return slope->second;
+}
+
 ServingLatency FillerControl::LatencyFor(const std::string& image,
                                          const Image& state) const {
   ServingLatency latency;
-  const auto slopes = m_slopes.find(image);
   const double cores =
       static_cast<double>(std::max(state.full_cpu, kUnknownCpu)) / 1'000;
   for (const ServingFigure& figure : m_serving) {
-    bool is_disturbed = true;
-    if (slopes != m_slopes.end()) {
-      const auto slope = slopes->second.find(figure.image);
-      is_disturbed = slope == slopes->second.end() ||
-                     slope->second * cores >= kNegligiblePercent;
-    }
-    if (is_disturbed)
+    const std::optional<double> slope = SlopeOf(image, figure.image);
+    if (!slope || *slope * cores >= kNegligiblePercent)
       latency.worst_percent =
           std::max(latency.worst_percent, figure.latency_percent);
   }
   return latency;
 }
 
+std::optional<int64_t> FillerControl::ExpectedShare(const std::string& image,
+                                                    const Image& state) const {
+  double share = 100;
+  const double cores =
+      static_cast<double>(std::max(state.full_cpu, kUnknownCpu)) / 1'000;
+  for (const ServingFigure& figure : m_serving) {
+    const std::optional<double> own = SlopeOf(image, figure.image);
+    if (!own)
+      return std::nullopt;
+    if (*own * cores < kNegligiblePercent)
+      continue;
+    double now = 0;
+    double at_full_speed = 0;
+    for (const auto& [name, other] : m_images) {
+      const double slope = SlopeOf(name, figure.image).value_or(0.0);
+      now += slope * other.smoothed_cpu / 1'000;
+      at_full_speed += slope * static_cast<double>(other.full_cpu) / 1'000;
+    }
+    const double base = static_cast<double>(figure.latency_percent) - now;
+    const double room = std::max(kAimedPercent - base, 0.0);
+    share = std::min(share, 100 * room / std::max(at_full_speed, 1.0));
+  }
+  return static_cast<int64_t>(share);
+}
+
 int64_t FillerControl::PercentOf(std::string_view image) const {
   const auto it = m_images.find(image);
   return it == m_images.end() ? 100 : it->second.percent;
--- a/source/agent/filler_control.h
+++ b/source/agent/filler_control.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -59,8 +60,16 @@
   };
 
   void Smooth(std::span<const FillerUse> uses, Millis now);
-  ServingLatency LatencyFor(const std::string& image,
-                            const Image& state) const;
+  /// Slope of a pair; nothing while it is not known.
+  std::optional<double> SlopeOf(const std::string& filler,
+                                const std::string& serving) const;
+  ServingLatency LatencyFor(const std::string& image, const Image& state) const;
+  /// Share at which all fillers together are expected to keep the latency that
+  /// an image disturbs most within bounds, in percent; nothing while a pair is
+  /// not known.
+  std::optional<int64_t> ExpectedShare(const std::string& image,
+                                       const Image& state) const;
+  int64_t ChoosePercent(const std::string& name, Image& image, Millis now);
 
   const MakePolicy m_make_policy;
   std::map<std::string, Image, std::less<>> m_images;
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -18,6 +18,9 @@
 /// How often agents are told what is known of the images.
 constexpr Millis kSlopeInterval{1'500};
 
+/// How often the leader logs how much work waits and runs.
+constexpr Millis kLoadLineInterval{1'000};
+
 /// When a caller that was refused may come again.
 constexpr Millis kRetryAfter{1'000};
 
@@ -274,9 +277,30 @@
   ReleaseExpired(time, next);
   Plan(time, next);
   SendSlopes(time.now);
+  LogLoad(time.now);
   SendDueOrders(time.now);
 }
 
+void WorkflowService::LogLoad(Millis now) {
+  if (now < m_next_load_line)
+    return;
+  m_next_load_line = now + kLoadLineInterval;
+  const SchedulingLoad load = m_scheduler.MeasureLoad();
+  m_decisions->Write(
+      DecisionLine("scheduling_load")
+          .With("open_workflows", static_cast<int64_t>(m_state.open().size()))
+          .With("waiting", load.waiting)
+          .With("waiting_fillers", load.waiting_fillers)
+          .With("waiting_lasting", load.waiting_lasting)
+          .With("active", load.active)
+          .With("active_fillers", load.active_fillers)
+          .With("active_lasting", load.active_lasting)
+          .With("filler_cpu_millicores", load.filler_cpu_millicores)
+          .With("expected_idle_millicores", load.expected_idle_millicores)
+          .With("free_cpu_millicores", load.free_cpu_millicores)
+          .With("workers", static_cast<int64_t>(Statuses(now).size())));
+}
+
 void WorkflowService::SendSlopes(Millis now) {
   if (now < m_next_slopes)
     return;
--- a/source/control/workflow_service.h
+++ b/source/control/workflow_service.h
@@ -91,6 +91,7 @@
   void OnStalls(WorkerLink& link, const WorkerReport& report, Millis now);
   /// Tells the agents from time to time what is known of the images.
   void SendSlopes(Millis now);
+  void LogLoad(Millis now);
   void ReleaseExpired(const PlanningTime& time, WorkflowBatch& next);
   void Plan(const PlanningTime& time, WorkflowBatch& next);
   std::map<WorkerNumber, WorkerStatus> Statuses(Millis now) const;
@@ -113,6 +114,7 @@
   LinearPressureModel m_pressure;
   SharedRunPlacement m_placement{m_pressure};
   Millis m_next_slopes;
+  Millis m_next_load_line;
   WorkflowScheduler m_scheduler;
   WorkerLeases m_leases;
   std::map<NodeId, WorkerLink> m_links;
--- a/source/workflow/run_placement.cc
+++ b/source/workflow/run_placement.cc
@@ -66,7 +66,9 @@
 struct SharedRunPlacement::Cost {
   int distrust = 0;
   int distance = 0;
-  uint32_t siblings = 0;
+  /// For lasting tasks: different images that would share the worker, unless
+  /// the task's own is there already.
+  size_t images = 0;
   /// For fillers: added latency in steps of kPressureStep.
   int64_t pressure = 0;
   int64_t measure = 0;
@@ -101,9 +103,13 @@
   cost.distrust = request.is_last_attempt && !candidate.is_trusted ? 1 : 0;
   if (!step.data_rack.empty() && !HasLabel(*candidate.offer, step.data_rack))
     cost.distance = 1;
-  if (step.is_lasting)
-    cost.siblings = candidate.room->CountOfWorkflow(request.task.workflow);
-  cost.measure = candidate.room->free_cpu();
+  if (step.is_lasting) {
+    const auto& images = candidate.room->lasting_images();
+    cost.images = images.contains(step.image) ? 0 : images.size() + 1;
+    cost.measure = -candidate.room->free_cpu();
+  } else {
+    cost.measure = candidate.room->free_cpu();
+  }
   return cost;
 }
 
--- a/source/workflow/run_placement.h
+++ b/source/workflow/run_placement.h
@@ -57,10 +57,11 @@
       std::span<const WorkerCandidate> candidates) const override;
 };
 
-/// Places near the data, spreads the lasting tasks of a workflow over workers
-/// and racks, packs other tasks to keep large gaps, and gives fillers to the
-/// worker where they disturb least and run fastest. A filler waits while it
-/// would run slowly, or push a latency over its target, everywhere.
+/// Places near the data, packs tasks that end to keep large gaps, and gives
+/// fillers to the worker where they disturb least and run fastest. Lasting
+/// tasks of one image share workers: the fewer images serve on a worker, the
+/// more fillers disturb none of them. A filler waits while it would run slowly,
+/// or push a latency over its target, everywhere.
 class SharedRunPlacement : public RunPlacement {
  public:
   /// The model outlives the placement.
--- a/source/workflow/workflow_scheduler.cc
+++ b/source/workflow/workflow_scheduler.cc
@@ -248,6 +248,40 @@
     candidates.erase(candidates.begin() + static_cast<ptrdiff_t>(position));
 }
 
+SchedulingLoad WorkflowScheduler::MeasureLoad() const {
+  SchedulingLoad load;
+  for (const WorkflowKey key : m_state.open()) {
+    const WorkflowRecord& workflow = *m_state.Find(key);
+    for (const WorkflowOccurrence& occurrence : workflow.occurrences) {
+      for (uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+        const WorkflowStep& step = occurrence.steps[s];
+        const StepSpec& spec = workflow.spec.steps[s];
+        const bool is_ready =
+            !IsFinal(workflow.phase) && workflow.IsStepReady(occurrence, s);
+        const int64_t waiting = is_ready ? step.waiting : 0;
+        const int64_t active =
+            static_cast<int64_t>(step.tasks.size()) - step.waiting - step.done;
+        load.waiting += waiting;
+        load.active += active;
+        if (spec.is_filler) {
+          load.waiting_fillers += waiting;
+          load.active_fillers += active;
+        }
+        if (spec.is_lasting) {
+          load.waiting_lasting += waiting;
+          load.active_lasting += active;
+        }
+      }
+    }
+  }
+  for (const auto& [worker, room] : m_rooms) {
+    load.filler_cpu_millicores += room.filler_cpu();
+    load.expected_idle_millicores += room.ExpectedIdleCpu();
+    load.free_cpu_millicores += room.free_cpu();
+  }
+  return load;
+}
+
 const WorkerRoom* WorkflowScheduler::RoomOf(WorkerNumber worker) const {
   const auto it = m_rooms.find(worker);
   return it == m_rooms.end() ? nullptr : &it->second;
--- a/source/workflow/workflow_scheduler.h
+++ b/source/workflow/workflow_scheduler.h
@@ -20,6 +20,22 @@
   std::span<const FillerFigure> fillers;
 };
 
+/// How much work waits and runs.
+struct SchedulingLoad {
+  int64_t waiting = 0;
+  int64_t waiting_fillers = 0;
+  int64_t waiting_lasting = 0;
+  int64_t active = 0;
+  int64_t active_fillers = 0;
+  int64_t active_lasting = 0;
+  /// Processors that the fillers would use at full speed.
+  int64_t filler_cpu_millicores = 0;
+  /// Processors that are expected to be left for fillers.
+  int64_t expected_idle_millicores = 0;
+  /// Processors that no run has reserved.
+  int64_t free_cpu_millicores = 0;
+};
+
 /// Times of one planning round.
 struct PlanningTime {
   /// Of the leader's clock.
@@ -58,6 +74,8 @@
       const PlanningTime& time,
       size_t limit);
 
+  SchedulingLoad MeasureLoad() const;
+
   const WorkerHealth& health() const { return m_health; }
   const WorkerRoom* RoomOf(WorkerNumber worker) const;
   /// Steps that had tasks without a place in the last round.
