Workflows: Move fillers away from where they are slowed down

They sat at a share near 0 on workers whose tasks they disturb: some were placed while a serving load was low, some because their workflow had waited 1.5 s, and they counted as wanted there, which kept harmless fillers away.

Placement now expects every filler on a worker at full speed and the serving load above its mean, counts a slowed-down filler by its share, and places a waiting workflow anywhere only while half of the service is idle. Every half second up to four slowed-down fillers with checkpoints move where they would run well.

--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -18,6 +18,10 @@
 /// How often agents are told what is known of the images.
 constexpr Millis kSlopeInterval{1'500};
 
+/// How often slowed-down fillers are looked for, and how many move then.
+constexpr Millis kMoveInterval{500};
+constexpr size_t kMovesAtOnce = 4;
+
 /// How often the leader logs how much work waits and runs.
 constexpr Millis kLoadLineInterval{1'000};
 
@@ -276,11 +280,31 @@
 void WorkflowService::OnTick(const PlanningTime& time, WorkflowBatch& next) {
   ReleaseExpired(time, next);
   Plan(time, next);
+  MoveFillers(time);
   SendSlopes(time.now);
   LogLoad(time.now);
   SendDueOrders(time.now);
 }
 
+void WorkflowService::MoveFillers(const PlanningTime& time) {
+  if (m_is_planning || time.now < m_next_move)
+    return;
+  m_next_move = time.now + kMoveInterval;
+  for (const TaskName& task :
+       m_scheduler.FindMoves(Statuses(time.now), time, kMovesAtOnce)) {
+    const WorkflowTask& state = *m_state.FindTask(task);
+    WorkerLink* link = FindLink(state.worker);
+    if (!link || link->IsStopping(task))
+      continue;
+    m_counters.Add("control_moved_fillers");
+    m_decisions->Write(DecisionLine("filler_moved")
+                           .With("task", ToString(task))
+                           .With("run", int64_t{state.run})
+                           .With("worker", link->agent()));
+    link->AddStop(task, state.run);
+  }
+}
+
 void WorkflowService::LogLoad(Millis now) {
   if (now < m_next_load_line)
     return;
--- a/source/control/workflow_service.h
+++ b/source/control/workflow_service.h
@@ -91,6 +91,8 @@
   void OnStalls(WorkerLink& link, const WorkerReport& report, Millis now);
   /// Tells the agents from time to time what is known of the images.
   void SendSlopes(Millis now);
+  /// Stops fillers that another worker would serve better.
+  void MoveFillers(const PlanningTime& time);
   void LogLoad(Millis now);
   void ReleaseExpired(const PlanningTime& time, WorkflowBatch& next);
   void Plan(const PlanningTime& time, WorkflowBatch& next);
@@ -115,6 +117,7 @@
   SharedRunPlacement m_placement{m_pressure};
   Millis m_next_slopes;
   Millis m_next_load_line;
+  Millis m_next_move;
   WorkflowScheduler m_scheduler;
   WorkerLeases m_leases;
   std::map<NodeId, WorkerLink> m_links;
--- a/source/workflow/run_placement.cc
+++ b/source/workflow/run_placement.cc
@@ -14,6 +14,9 @@
 constexpr double kHighestLatency = 85;
 /// Growth of a latency, in percent of its target, that is put up with.
 constexpr double kNegligiblePressure = 5;
+/// How far above its mean a latency without fillers is expected to rise, in
+/// percent of the target.
+constexpr double kLoadSwing = 8;
 /// Workers whose latencies would grow by about as much are equally good.
 constexpr double kPressureStep = 10;
 
@@ -22,18 +25,25 @@
          offer.labels.end();
 }
 
+/// Share at which the fillers of an image work on a worker, in percent.
+int64_t PaceOf(const WorkerCandidate& candidate, std::string_view image) {
+  for (const FillerFigure& figure : candidate.fillers) {
+    if (figure.image == image)
+      return figure.pace_percent;
+  }
+  return 100;
+}
+
 /// Expected speed of a filler that joins the others, in percent of full speed.
+/// What slowed-down fillers leave over is there for others.
 int64_t FillerSpeed(const RunRequest& request,
                     const WorkerCandidate& candidate) {
-  const int64_t wanted = std::max<int64_t>(
-      candidate.room->filler_cpu() + request.step->cpu_millicores, 1);
+  int64_t wanted = request.step->cpu_millicores;
+  for (const auto& [image, cpu] : candidate.room->filler_cpu_by_image())
+    wanted += cpu * PaceOf(candidate, image) / 100;
   const int64_t idle = std::max<int64_t>(candidate.room->ExpectedIdleCpu(), 0);
-  int64_t pace = 100;
-  for (const FillerFigure& figure : candidate.fillers) {
-    if (figure.image == request.step->image)
-      pace = figure.pace_percent;
-  }
-  return std::min<int64_t>(idle * 100 / wanted, 100) * pace / 100;
+  return std::min<int64_t>(idle * 100 / std::max<int64_t>(wanted, 1), 100) *
+         PaceOf(candidate, request.step->image) / 100;
 }
 
 }  // namespace
@@ -113,21 +123,25 @@
   return cost;
 }
 
-double SharedRunPlacement::ComingPressure(
+double SharedRunPlacement::ExpectedLatency(
     const ServingFigure& figure,
     const WorkerCandidate& candidate) const {
-  double coming = 0;
+  double measured = 0;
+  double at_full_speed = 0;
+  for (const FillerFigure& filler : candidate.fillers) {
+    measured += m_pressure.Expect(figure.image, filler.image).percent_per_core *
+                static_cast<double>(filler.cpu_millicores) / 1'000;
+  }
   for (const auto& [image, cpu] : candidate.room->filler_cpu_by_image()) {
-    int64_t measured = 0;
-    for (const FillerFigure& filler : candidate.fillers) {
-      if (filler.image == image)
-        measured = filler.cpu_millicores;
-    }
-    const double cores =
-        static_cast<double>(std::max<int64_t>(cpu - measured, 0)) / 1'000;
-    coming += m_pressure.Expect(figure.image, image).percent_per_core * cores;
+    at_full_speed += m_pressure.Expect(figure.image, image).percent_per_core *
+                     static_cast<double>(cpu) / 1'000;
   }
-  return coming;
+  // The load of a serving task swings; a low moment must not attract fillers
+  // that have to be slowed down soon after.
+  const double base =
+      std::max(static_cast<double>(figure.latency_percent) - measured,
+               m_pressure.BaseOf(figure.image) + kLoadSwing);
+  return base + at_full_speed;
 }
 
 std::optional<SharedRunPlacement::Cost> SharedRunPlacement::FillerCostOf(
@@ -141,8 +155,7 @@
     const double added =
         m_pressure.Expect(figure.image, step.image).percent_per_core * cores;
     pressure += added;
-    const double expected = static_cast<double>(figure.latency_percent) +
-                            ComingPressure(figure, candidate) + added;
+    const double expected = ExpectedLatency(figure, candidate) + added;
     goes_over_target |=
         added > kNegligiblePressure && expected > kHighestLatency;
   }
--- a/source/workflow/run_placement.h
+++ b/source/workflow/run_placement.h
@@ -81,10 +81,10 @@
   std::optional<Cost> FillerCostOf(const RunRequest& request,
                                    const WorkerCandidate& candidate) const;
 
-  /// Growth of a latency, in percent of its target, that the fillers on a
-  /// worker are still to cause: they started after its figures were measured.
-  double ComingPressure(const ServingFigure& figure,
-                        const WorkerCandidate& candidate) const;
+  /// Latency, in percent of its target, that is expected once all fillers on
+  /// the worker work at full speed.
+  double ExpectedLatency(const ServingFigure& figure,
+                         const WorkerCandidate& candidate) const;
 
   const PressureModel& m_pressure;
 };
--- a/source/workflow/workflow_scheduler.cc
+++ b/source/workflow/workflow_scheduler.cc
@@ -12,6 +12,11 @@
 /// A workflow without any run is placed wherever there is room after this time.
 constexpr Millis kStarvingAfter{1'500};
 
+/// A filler that works at less than this share moves if it can, in percent.
+constexpr int64_t kSlowPace = 35;
+/// Time that a filler stays at least where it is.
+constexpr Millis kMoveAfter{1'500};
+
 }  // namespace
 
 void WorkflowScheduler::Rebuild() {
@@ -153,6 +158,7 @@
   request.step = &ready.spec();
   request.service = ready.queue->service;
   bool has_placed = false;
+  const bool is_half_idle = IsHalfIdle(request.service);
   for (uint32_t i = 0; i < tasks.size() && plan.size() < limit; ++i) {
     if (tasks[i].stage != TaskStage::kWaiting)
       continue;
@@ -160,7 +166,8 @@
     request.is_last_attempt =
         tasks[i].failed_runs > 0 &&
         tasks[i].failed_runs + 1 >= ready.queue->max_attempts;
-    request.is_starving = ready.workflow->active == 0 && !has_placed &&
+    request.is_starving = is_half_idle && ready.workflow->active == 0 &&
+                          !has_placed &&
                           time.replicated - tasks[i].since > kStarvingAfter;
     const std::optional<size_t> position = ChooseFor(request, candidates);
     if (!position) {
@@ -248,6 +255,60 @@
     candidates.erase(candidates.begin() + static_cast<ptrdiff_t>(position));
 }
 
+std::vector<TaskName> WorkflowScheduler::FindMoves(
+    const std::map<WorkerNumber, WorkerStatus>& workers,
+    const PlanningTime& time,
+    size_t limit) {
+  std::vector<TaskName> moves;
+  std::vector<AssignRun> taken;
+  std::vector<WorkerCandidate> candidates = FindCandidates(workers, time.now);
+  for (const auto& [number, status] : workers) {
+    for (const TaskName& task : m_state.RunsOf(number)) {
+      if (moves.size() >= limit)
+        break;
+      const StepSpec& step = *m_state.FindStep(task);
+      const WorkflowTask& state = *m_state.FindTask(task);
+      const bool is_slow =
+          std::any_of(status.fillers.begin(), status.fillers.end(),
+                      [&](const FillerFigure& figure) {
+                        return figure.image == step.image &&
+                               figure.pace_percent < kSlowPace;
+                      });
+      if (!step.is_filler || !step.has_checkpoints || !is_slow ||
+          time.replicated - state.since < kMoveAfter) {
+        continue;
+      }
+      RunRequest request;
+      request.task = task;
+      request.step = &step;
+      request.service = m_state.QueueOf(*m_state.Find(task.workflow)).service;
+      const std::optional<size_t> position = ChooseFor(request, candidates);
+      if (!position || candidates[*position].number == number)
+        continue;
+      // The next move finds the room taken.
+      candidates[*position].room->Add(task, step);
+      taken.push_back({task, 0, candidates[*position].number});
+      moves.push_back(task);
+    }
+  }
+  for (const AssignRun& run : taken)
+    RoomFor(run.worker).Remove(run.task, *m_state.FindStep(run.task));
+  return moves;
+}
+
+bool WorkflowScheduler::IsHalfIdle(std::string_view service) const {
+  int64_t used = 0;
+  int64_t capacity = 0;
+  for (const auto& [number, room] : m_rooms) {
+    const WorkerEntry* entry = m_state.FindWorker(number);
+    if (!entry || entry->offer.service != service)
+      continue;
+    used += room.used().cpu_millicores;
+    capacity += room.capacity().cpu_millicores;
+  }
+  return used * 2 < capacity;
+}
+
 SchedulingLoad WorkflowScheduler::MeasureLoad() const {
   SchedulingLoad load;
   for (const WorkflowKey key : m_state.open()) {
--- a/source/workflow/workflow_scheduler.h
+++ b/source/workflow/workflow_scheduler.h
@@ -74,6 +74,13 @@
       const PlanningTime& time,
       size_t limit);
 
+  /// Fillers that are slowed down where they run, could resume from a
+  /// checkpoint, and would run well on another worker. At most `limit`.
+  std::vector<TaskName> FindMoves(
+      const std::map<WorkerNumber, WorkerStatus>& workers,
+      const PlanningTime& time,
+      size_t limit);
+
   SchedulingLoad MeasureLoad() const;
 
   const WorkerHealth& health() const { return m_health; }
@@ -102,6 +109,9 @@
             std::vector<WorkerCandidate>& candidates,
             std::vector<AssignRun>& plan);
   WorkerRoom& RoomFor(WorkerNumber worker);
+  /// Whether less than half of a service's processors is reserved, so that
+  /// every workflow has to make progress.
+  bool IsHalfIdle(std::string_view service) const;
 
   const WorkflowState& m_state;
   const WorkflowOrder& m_order;
