--- a/source/agent/filler_control.cc
+++ b/source/agent/filler_control.cc
@@ -17,7 +17,12 @@
 constexpr double kAimedPercent = 82;
 
 /// Largest growth of a share from one look to the next, in percent.
-constexpr int64_t kStepUpPercent = 20;
+constexpr int64_t kStepUpPercent = 25;
+
+/// Shares are left alone while the wanted change is this small, in percent.
+constexpr int64_t kDeadBandPercent = 4;
+
+constexpr Millis kRaiseInterval{300};
 
 /// An image that was not seen for this long starts again at full speed.
 constexpr Millis kForgetAfter{4'000};
@@ -86,8 +91,17 @@
   // The policy reacts to latencies alone. It goes first only while it slows
   // down, which shows that the expectation is too high.
   const int64_t limit = guided < image.percent ? guided : 100;
-  const int64_t step = image.percent + kStepUpPercent;
-  return std::min({*expected, step, std::max(limit, int64_t{0})});
+  const int64_t wanted = std::min(*expected, std::max(limit, int64_t{0}));
+  if (wanted < image.percent - kDeadBandPercent || wanted == 0)
+    return wanted;
+  // Latencies follow with a delay; a share is raised only after the last change
+  // has shown its effect.
+  if (wanted <= image.percent + kDeadBandPercent ||
+      now - image.raised_at < kRaiseInterval) {
+    return image.percent;
+  }
+  image.raised_at = now;
+  return std::min(wanted, image.percent + kStepUpPercent);
 }
 
 std::optional<double> FillerControl::SlopeOf(const std::string& filler,
--- a/source/agent/filler_control.h
+++ b/source/agent/filler_control.h
@@ -53,6 +53,7 @@
   struct Image {
     std::unique_ptr<FillerPacePolicy> policy;
     int64_t percent = 100;
+    Millis raised_at;
     double smoothed_cpu = 0;
     /// What they use at full speed, as far as seen.
     int64_t full_cpu = 0;
--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -22,6 +22,8 @@
 constexpr Millis kWatchfulLookWait{200};
 /// Pause after a look that got no answer.
 constexpr Millis kLookRetry{200};
+/// Pause before the next look while ends are not stored.
+constexpr Millis kUnstoredPause{150};
 /// Shortest time between looks.
 constexpr Millis kLookPause{20};
 
@@ -58,6 +60,7 @@
       m_client(client),
       m_decisions(decisions),
       m_contact(m_options.control_members),
+      m_started_at(clock.Now()),
       m_lease(clock.Now(), m_options.longest_lease_step),
       m_fillers(std::move(make_pace)) {}
 
@@ -86,6 +89,7 @@
     AdoptLife(announcement);
   }
   m_heard_at = now;
+  m_was_lapsed = false;
   return true;
 }
 
@@ -97,6 +101,15 @@
           .With("born", announcement.life.born_unix_ms)
           .With("lost_runs", static_cast<int64_t>(m_runs.size())));
   const bool is_first = !m_worker;
+  for (const auto& [task, local] : m_runs)
+    m_earlier_starts[task] = {local.run};
+  for (const UnansweredStart& start : m_unanswered_starts) {
+    EarlierStart& earlier = m_earlier_starts[start.task];
+    if (now < start.until)
+      earlier.run = std::max(earlier.run, start.run);
+  }
+  for (auto& [task, earlier] : m_earlier_starts)
+    earlier.is_in_flight = false;
   m_worker = announcement;
   m_has_left = false;
   m_was_lapsed = false;
@@ -116,6 +129,25 @@
   m_is_report_urgent = true;
 }
 
+void WorkflowRunner::StopEarlierStarts() {
+  for (auto& [task, earlier] : m_earlier_starts) {
+    if (earlier.is_in_flight)
+      continue;
+    earlier.is_in_flight = true;
+    m_client.Stop(task, earlier.run, m_term,
+                  [this, name = task, life = m_life_number](bool is_answered) {
+                    if (life != m_life_number)
+                      return;
+                    const auto it = m_earlier_starts.find(name);
+                    if (it == m_earlier_starts.end())
+                      return;
+                    it->second.is_in_flight = false;
+                    if (is_answered)
+                      m_earlier_starts.erase(it);
+                  });
+  }
+}
+
 void WorkflowRunner::OnDeparture(std::string_view id) {
   if (!m_worker || m_worker->life.id != id)
     return;
@@ -124,6 +156,7 @@
                         .With("runs", static_cast<int64_t>(m_runs.size())));
   m_has_left = true;
   m_runs.clear();
+  m_earlier_starts.clear();
   m_is_report_urgent = true;
 }
 
@@ -154,6 +187,8 @@
   m_contact.AddMembers(orders.members);
   m_contact.OnLeader(from, now);
   m_events.OnStored(orders.stored_sequence);
+  if (m_events.last_end() == m_events.stored_end())
+    m_next_look = std::min(m_next_look, now);
   m_fillers.SetSlopes(orders.slopes);
   if (!m_worker || !(orders.life == m_worker->life))
     return;
@@ -169,6 +204,8 @@
     m_counters.Add("agent_expired_orders");
     return;
   }
+  if (m_was_lapsed || orders.report_sent_at < m_lapsed_at)
+    return;
   for (const StartOrder& order : orders.starts)
     OnStartOrder(order);
 }
@@ -212,7 +249,7 @@
   LocalRun& local = m_runs.at(task);
   const std::optional<Millis> run_until = m_lease.TakeExtension(m_clock.Now());
   if (!run_until) {
-    EndRun(task, local.run, RunEndKind::kRefused, local.order.checkpoint, 0);
+    RefuseRun(task, RunEndKind::kRefused);
     return;
   }
   StartRequest request;
@@ -260,20 +297,41 @@
       return;
     case StartVerdict::kUnknown:
       m_counters.Add("agent_unanswered_starts");
+      std::erase_if(m_unanswered_starts, [now](const UnansweredStart& start) {
+        return now >= start.until;
+      });
+      m_unanswered_starts.push_back({task, run, now + kLateOrderLimit});
       local.stage = RunStage::kDoubtful;
       local.since = now;
       return;
     case StartVerdict::kDeclined:
-      EndRun(task, run, RunEndKind::kDeclined, local.order.checkpoint, 0);
+      RefuseRun(task, RunEndKind::kDeclined);
       return;
     case StartVerdict::kNoRoom:
     case StartVerdict::kOutdated:
     case StartVerdict::kInvalid:
-      EndRun(task, run, RunEndKind::kRefused, local.order.checkpoint, 0);
+      RefuseRun(task, RunEndKind::kRefused);
       return;
   }
 }
 
+void WorkflowRunner::RefuseRun(const TaskName& task, RunEndKind kind) {
+  const LocalRun& local = m_runs.at(task);
+  const Millis now = m_clock.Now();
+  // An earlier agent process may have sent a copy that got no answer. A stop
+  // that is answered keeps it from ever starting.
+  const bool may_have_copy =
+      now - m_started_at < kLateOrderLimit ||
+      std::any_of(m_unanswered_starts.begin(), m_unanswered_starts.end(),
+                  [&](const UnansweredStart& start) {
+                    return start.task == task && now < start.until;
+                  });
+  if (may_have_copy)
+    StopRun(task);
+  else
+    EndRun(task, local.run, kind, local.order.checkpoint, 0);
+}
+
 void WorkflowRunner::OnStopOrder(const RunListing& order) {
   if (m_has_left)
     return;
@@ -335,6 +393,7 @@
   if (!m_is_looking && now >= m_next_look && NeedsLook())
     Look();
   CheckLapse();
+  StopEarlierStarts();
   if (IsReportDue())
     SendReport();
 }
@@ -363,7 +422,10 @@
 void WorkflowRunner::Look() {
   const Millis now = m_clock.Now();
   LookRequest request;
-  request.run_until = m_lease.TakeExtension(now);
+  // An extension without an answer may have been carried out. After one, the
+  // lease has to run out before the worker's runs count as over.
+  if (m_is_last_look_answered)
+    request.run_until = m_lease.TakeExtension(now);
   request.stored_ends = m_events.stored_end();
   request.wait = LookWait();
   request.fence = m_term;
@@ -379,6 +441,7 @@
                             const std::optional<LookAnswer>& answer) {
   const Millis now = m_clock.Now();
   m_is_looking = false;
+  m_is_last_look_answered = answer.has_value();
   m_next_look = now + (answer ? kLookPause : kLookRetry);
   if (!answer) {
     m_counters.Add("agent_unanswered_looks");
@@ -396,6 +459,10 @@
   FollowEnds(*answer);
   FollowRows(*answer, sent_at);
   m_has_looked = true;
+  // A worker answers at once while it lists an end, so that the next look waits
+  // until control has stored the ends.
+  if (m_events.last_end() > m_events.stored_end())
+    m_next_look = now + kUnstoredPause;
   UpdatePaces(*answer);
   SendPaces();
   if (m_is_report_urgent && IsReportDue())
@@ -559,6 +626,10 @@
   if (m_was_lapsed || !HasLapsed())
     return;
   m_was_lapsed = true;
+  m_lapsed_at = m_clock.Now();
+  // A worker that comes back is looked at before it gets runs again.
+  m_has_looked = false;
+  m_needs_full = true;
   m_is_report_urgent = true;
   m_decisions.Write(DecisionLine("worker_lapsed")
                         .With("life", m_worker->life.id)
@@ -568,6 +639,8 @@
 }
 
 bool WorkflowRunner::IsReportDue() const {
+  if (!m_earlier_starts.empty())
+    return false;
   const Millis age = m_clock.Now() - m_last_report;
   if (!m_contact.IsHeard(m_clock.Now()))
     return age >= kSearchInterval;
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -80,6 +80,8 @@
   using Runs = std::map<TaskName, LocalRun>;
 
   void AdoptLife(const WorkerAnnouncement& announcement);
+  /// Makes sure that no start meant for an earlier life begins in this one.
+  void StopEarlierStarts();
   void OnOrders(const NodeId& from, const WorkerOrders& orders);
   void OnStartOrder(const StartOrder& order);
   void OnStopOrder(const RunListing& order);
@@ -87,6 +89,9 @@
   void OnStartAnswer(const TaskName& task,
                      RunNumber run,
                      const StartAnswer& answer);
+  /// A start was refused: the run ends, unless an earlier copy of the start may
+  /// still be carried out.
+  void RefuseRun(const TaskName& task, RunEndKind kind);
   void StopRun(const TaskName& task);
   void EndRun(const TaskName& task,
               RunNumber run,
@@ -124,17 +129,38 @@
   std::optional<WorkerAnnouncement> m_worker;
   bool m_has_left = false;
   bool m_was_lapsed = false;
+  // Starts that control ordered before it knew of a lapse are void.
+  Millis m_lapsed_at;
   bool m_is_stopping = false;
+  const Millis m_started_at;
   WorkerLease m_lease;
   Millis m_heard_at;
   Runs m_runs;
   RunEventQueue m_events;
 
+  // Starts that may still be carried out, or were carried out by a new life
+  // before it announced itself. Control hears of the life only when all of them
+  // are stopped there.
+  struct EarlierStart {
+    RunNumber run = 0;
+    bool is_in_flight = false;
+  };
+  std::map<TaskName, EarlierStart> m_earlier_starts;
+  // Starts without an answer, with the time until which they may be carried
+  // out.
+  struct UnansweredStart {
+    TaskName task;
+    RunNumber run = 0;
+    Millis until;
+  };
+  std::vector<UnansweredStart> m_unanswered_starts;
+
   // Calls carry the number of the life they were made in, so that late answers
   // of an earlier life are dropped.
   uint64_t m_life_number = 0;
   bool m_is_looking = false;
   bool m_has_looked = false;
+  bool m_is_last_look_answered = true;
   Millis m_next_look;
   FillerControl m_fillers;
   bool m_has_figures = false;
--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -30,6 +30,7 @@
     m_strays.clear();
     m_worker = worker;
     m_needs_full = true;
+    m_is_releasing = false;
   }
   if (report.has_figures || worker != m_worker) {
     m_serving = report.serving;
@@ -43,6 +44,16 @@
   if (m_worker == kNoWorkerNumber)
     return;
   Compare(report);
+  StopEndedWorkflows();
+}
+
+void WorkerLink::StopEndedWorkflows() {
+  // A workflow may have ended while no report of this worker had reached the
+  // present leader.
+  for (const TaskName& task : m_state.RunsOf(m_worker)) {
+    if (IsFinal(m_state.Find(task.workflow)->phase))
+      AddStop(task, m_state.FindTask(task)->run);
+  }
 }
 
 bool WorkerLink::Attach(WorkerNumber worker, const WorkerLife& life) {
@@ -122,7 +133,8 @@
   const auto is_due = [now](const auto& item) {
     return IsDue(item.second, now);
   };
-  return std::any_of(m_starts.begin(), m_starts.end(), is_due) ||
+  return (!m_is_releasing &&
+          std::any_of(m_starts.begin(), m_starts.end(), is_due)) ||
          std::any_of(m_stops.begin(), m_stops.end(), is_due);
 }
 
@@ -136,7 +148,7 @@
   orders.needs_full = m_needs_full;
   orders.stored_sequence = m_stored_sequence;
   for (auto& [task, order] : m_starts) {
-    if (!IsDue(order, now))
+    if (m_is_releasing || !IsDue(order, now))
       continue;
     order.is_sent = true;
     order.sent_at = now;
--- a/source/control/worker_link.h
+++ b/source/control/worker_link.h
@@ -39,6 +39,12 @@
   void AddStart(const TaskName& task, RunNumber run);
   /// A run of the worker has to stop.
   void AddStop(const TaskName& task, RunNumber run);
+  /// The worker's runs are being released: no start goes out until then, since
+  /// it would belong to a run that another worker gets.
+  void BeginRelease() { m_is_releasing = true; }
+  void OnReleased() { m_is_releasing = false; }
+  bool is_releasing() const { return m_is_releasing; }
+
   /// A run is over.
   void OnRunOver(const TaskName& task);
 
@@ -82,6 +88,7 @@
 
   static bool IsDue(const PendingOrder& order, Millis now);
   void Compare(const WorkerReport& report);
+  void StopEndedWorkflows();
   StartOrder MakeStart(const TaskName& task, RunNumber run) const;
 
   const NodeId m_agent;
@@ -89,6 +96,7 @@
   WorkerNumber m_worker = kNoWorkerNumber;
   WorkerReport m_report;
   bool m_has_report = false;
+  bool m_is_releasing = false;
   Millis m_heard_at;
   bool m_needs_full = true;
   // A new agent process does not know what its worker's runs are; the orders to
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -216,8 +216,12 @@
   std::vector<RunEvent> events = link.TakeEvents(report);
   if (!events.empty())
     next.events.push_back({from, report.agent, std::move(events)});
-  if (report.has_lapsed && !m_state.RunsOf(entry->number).empty())
+  const bool must_release = report.has_lapsed && !link.is_releasing() &&
+                            !m_state.RunsOf(entry->number).empty();
+  if (must_release) {
+    link.BeginRelease();
     next.releases.push_back({entry->number, false});
+  }
   if (report.has_figures)
     m_pressure.Record(report.serving, report.fillers);
   OnStalls(link, report, now);
@@ -404,9 +408,9 @@
                             change.end == RunEndKind::kRefused;
     if (is_refusal)
       m_scheduler.OnNoRoom(change.worker, now);
-    if (change.kind == RunChange::Kind::kReleased)
-      m_leases.OnReleased(change.worker);
   }
+  for (const WorkerNumber worker : effects.released)
+    OnReleased(worker);
   for (const WorkflowKey key : effects.ended)
     StopWorkflow(key);
   for (const StoredEvents& stored : effects.stored)
@@ -418,6 +422,12 @@
   SendDueOrders(now);
 }
 
+void WorkflowService::OnReleased(WorkerNumber worker) {
+  m_leases.OnReleased(worker);
+  if (WorkerLink* link = FindLink(worker))
+    link->OnReleased();
+}
+
 void WorkflowService::OnRegistered(WorkerNumber worker) {
   m_leases.Add(worker);
   const WorkerEntry& entry = *m_state.FindWorker(worker);
--- a/source/control/workflow_service.h
+++ b/source/control/workflow_service.h
@@ -85,6 +85,7 @@
   uint64_t AddCaller(Caller caller);
   void Answer(const WorkflowAnswer& answer);
   void OnRegistered(WorkerNumber worker);
+  void OnReleased(WorkerNumber worker);
   void FollowRun(const RunChange& change);
   void StopWorkflow(WorkflowKey key);
   void MoveRunsAway(WorkerLink& link);
--- a/source/workflow/workflow_state.cc
+++ b/source/workflow/workflow_state.cc
@@ -155,6 +155,7 @@
   const auto it = m_workers.find(command.worker);
   if (it == m_workers.end())
     return;
+  effects.released.push_back(command.worker);
   const std::set<TaskName> runs = RunsOf(command.worker);
   for (const TaskName& name : runs) {
     WorkflowRecord* workflow = FindOpen(name.workflow);
--- a/source/workflow/workflow_state.h
+++ b/source/workflow/workflow_state.h
@@ -47,6 +47,8 @@
   /// Workflows that reached their last phase.
   std::vector<WorkflowKey> ended;
   std::vector<WorkerNumber> registered;
+  /// Workers whose runs were released, also if none was left.
+  std::vector<WorkerNumber> released;
   std::vector<WorkerNumber> forgotten;
   bool has_new_directory = false;
   /// Whether the batch assigned runs, accepted or not.
@@ -54,8 +56,8 @@
 
   bool IsEmpty() const {
     return answers.empty() && runs.empty() && stored.empty() && ended.empty() &&
-           registered.empty() && forgotten.empty() && !has_new_directory &&
-           !has_assignments;
+           registered.empty() && released.empty() && forgotten.empty() &&
+           !has_new_directory && !has_assignments;
   }
 };
 
--- /dev/null
+++ b/tests/platform/codec_test.cc
@@ -0,0 +1,164 @@
+#include <catch2/catch.hpp>
+
+#include "platform/queue_codec.h"
+#include "platform/task_text.h"
+#include "platform/worker_codec.h"
+#include "platform/workflow_codec.h"
+
+// What arrives from the platform: good bodies become typed messages, and bad
+// ones typed errors that name nothing to use.
+
+namespace fulmarrock::platform {
+namespace {
+
+constexpr const char* kAnnouncement =
+    R"({"service":"svc","address":"10.0.0.9:8080","zone":"mid-a","version":"v1",
+"slots":8,"state":"ready","cold_remaining_ms":0,"born":1700000000000,
+"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],
+"clock_ms":482113,"sequence":4})";
+
+HttpRequest MakeRequest(std::string method, std::string path) {
+  HttpRequest request;
+  request.method = std::move(method);
+  request.path = std::move(path);
+  request.headers["host"] = "nony24.example";
+  return request;
+}
+
+}  // namespace
+
+TEST_CASE("A submission becomes a call with its key apart from its path") {
+  HttpRequest request = MakeRequest("POST", "/lohu930/5c0e7a21d94b36f8");
+  request.headers["x-deadline-ms"] = "2500";
+  request.body =
+      R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem_mb":256,
+"estimate_ms":900,"data_rack":"r1-3"},{"count":20,"cpu":2000,"mem_mb":1024,
+"estimate_ms":7000,"depends_on":[0],"checkpointing":true,"fills":true,
+"image":"i1","long_running":true,"target_ms":18}]})";
+  const Result<TimedCall> timed = DecodeCall(request);
+  REQUIRE(timed);
+  CHECK(timed->deadline == Millis(2'500));
+  CHECK(timed->call.path == "/lohu930/");
+  CHECK(timed->call.key == 0x5c0e7a21d94b36f8u);
+  const WorkflowSpec& spec = timed->call.spec;
+  REQUIRE(spec.steps.size() == 2);
+  CHECK(spec.steps[0].data_rack == "r1-3");
+  CHECK(spec.steps[1].depends_on == std::vector<uint32_t>{0});
+  CHECK(spec.steps[1].is_filler);
+  CHECK(spec.steps[1].is_lasting);
+  CHECK(spec.steps[1].has_checkpoints);
+  CHECK(spec.steps[1].latency_target == Millis(18));
+}
+
+TEST_CASE("Reads, cancellations and counts are told apart") {
+  CHECK(DecodeCall(MakeRequest("GET", "/q/5c0e7a21d94b36f8"))->call.kind ==
+        WorkflowCallKind::kShow);
+  CHECK(DecodeCall(MakeRequest("DELETE", "/q/5c0e7a21d94b36f8"))->call.kind ==
+        WorkflowCallKind::kCancel);
+  CHECK(DecodeCall(MakeRequest("GET", "/q/"))->call.kind ==
+        WorkflowCallKind::kCountPending);
+  CHECK_FALSE(DecodeCall(MakeRequest("POST", "/q/")));
+}
+
+TEST_CASE("A submission that cannot be read is an error") {
+  HttpRequest request = MakeRequest("POST", "/q/5c0e7a21d94b36f8");
+  for (const char* body :
+       {"", "{", "[]", R"({"steps":3})", R"({"steps":[{"count":"four"}]})",
+        R"({"steps":[{"depends_on":[-1]}]})"}) {
+    request.body = body;
+    CHECK_FALSE(DecodeCall(request));
+  }
+}
+
+TEST_CASE("Only an answer that promises nothing ran is a refusal") {
+  CallAnswer answer;
+  answer.retry_after = Millis(1'200);
+  answer.outcome = CallOutcome::kNotTaken;
+  const HttpResponse refused = EncodeAnswer(answer);
+  CHECK(refused.status == 503);
+  REQUIRE(refused.headers.size() == 1);
+  CHECK(refused.headers[0].second == "2");
+  answer.outcome = CallOutcome::kUnknownResult;
+  CHECK(EncodeAnswer(answer).status == 504);
+  answer.outcome = CallOutcome::kAnswered;
+  answer.reply.kind = WorkflowReplyKind::kNoWorkflow;
+  CHECK(EncodeAnswer(answer).status == 410);
+  answer.reply.kind = WorkflowReplyKind::kNoQueue;
+  CHECK(EncodeAnswer(answer).status == 404);
+}
+
+TEST_CASE("Queues keep the text that the operator sent") {
+  const std::string body =
+      R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/",
+"kind":"non_idempotent","timeout_ms":3000,"target_duration_ms":250,
+"priority":0,"service":"svc","max_attempts":3,"slack_factor":1.5}],
+"services":[{"name":"svc","admission_control":false}],"limits":{}})";
+  const Result<QueueDirectory> directory = DecodeDirectory(body);
+  REQUIRE(directory);
+  CHECK(directory->version == 7);
+  CHECK(directory->document == body);
+  CHECK(directory->queues[0].slack_factor == 1.5);
+  CHECK_FALSE(directory->services[0].is_guarded);
+  CHECK_FALSE(DecodeDirectory(body.substr(0, body.size() - 9)));
+  CHECK_FALSE(DecodeDirectory(R"({"version":"7"})"));
+}
+
+TEST_CASE("A worker's word becomes an announcement") {
+  const Result<WorkerAnnouncement> announcement =
+      DecodeAnnouncement(kAnnouncement, "i-1");
+  REQUIRE(announcement);
+  CHECK(announcement->life.id == "i-1");
+  CHECK(announcement->life.born_unix_ms == 1'700'000'000'000);
+  CHECK(announcement->offer.rack == "r1-3");
+  CHECK(announcement->offer.cpu_millicores == 16'000);
+  CHECK(announcement->sequence == 4);
+  CHECK_FALSE(announcement->is_leaving);
+}
+
+TEST_CASE("The word of another writer names no worker") {
+  for (const char* body :
+       {"", "\xff\xfe", "{}", R"({"service":3,"address":"a","state":"ready"})",
+        R"({"service":"svc","address":"10.0.0.1:1","state":"asleep"})",
+        R"({"service":"svc","address":"10.0.0.1:1","state":"ready",
+"capacity":{"cpu":"many"}})"}) {
+    CHECK_FALSE(DecodeAnnouncement(body, "i-1"));
+  }
+}
+
+TEST_CASE("Lists of runs and ends are read row by row") {
+  const Result<LookAnswer> answer = DecodeLook(
+      R"({"clock_ms":482113,"born":5,"running":[["5c0e7a21d94b36f8.0.1.17",2,
+"00000bb8",41,18]],"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})");
+  REQUIRE(answer);
+  CHECK(answer->worker_clock == Millis(482'113));
+  CHECK(answer->running[0].task == TaskName{0x5c0e7a21d94b36f8u, 0, 1, 17});
+  CHECK(answer->running[0].figure == 18);
+  CHECK(answer->ended[0].kind == RunEndKind::kDone);
+  CHECK_FALSE(DecodeLook("{}"));
+  CHECK_FALSE(DecodeLook(R"({"clock_ms":1,"running":[[1]],"finished":[]})"));
+  CHECK_FALSE(DecodeLook(
+      R"({"clock_ms":1,"running":[],"finished":[[1,"x",1,"done",""]]})"));
+}
+
+TEST_CASE("The answer to a start tells whether it may run") {
+  CHECK(DecodeStart(200, R"({"clock_ms":4})").verdict ==
+        StartVerdict::kStarted);
+  CHECK(DecodeStart(409, R"({"clock_ms":4,"reason":"room"})").verdict ==
+        StartVerdict::kNoRoom);
+  CHECK(DecodeStart(409, R"({"clock_ms":4,"reason":"old"})").verdict ==
+        StartVerdict::kOutdated);
+  CHECK(DecodeStart(421, "").verdict == StartVerdict::kOutdated);
+  CHECK(DecodeStart(503, "").verdict == StartVerdict::kDeclined);
+  CHECK(DecodeStart(500, "").verdict == StartVerdict::kUnknown);
+}
+
+TEST_CASE("Names of tasks survive being written and read") {
+  const TaskName name{0x0000000000abcdefu, 3, 2, 17};
+  CHECK(FormatTask(name) == "0000000000abcdef.3.2.17");
+  CHECK(ParseTask(FormatTask(name)) == name);
+  for (const char* text : {"", "x", "0000000000abcdef", "0000000000abcdef.1.2",
+                           "0000000000abcdef.1.2.3x", "0000000000ABCDEF.1.2.3"})
+    CHECK_FALSE(ParseTask(text).has_value());
+}
+
+}  // namespace fulmarrock::platform
--- /dev/null
+++ b/tests/support/fake_run_worker.cc
@@ -0,0 +1,230 @@
+#include "tests/support/fake_run_worker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fulmarrock::test {
+namespace {
+
+constexpr Millis kLongestStep{6'000};
+constexpr int64_t kClockPercent = 98;
+constexpr Millis kFailAfter{20};
+constexpr Millis kAnswerTime{1};
+constexpr Millis kTimeout{800};
+
+}  // namespace
+
+FakeRunWorker::FakeRunWorker(const Clock& clock, std::string name)
+    : m_clock(clock), m_name(std::move(name)) {
+  Restart();
+}
+
+void FakeRunWorker::Restart() {
+  EndAll(RunEndKind::kLapsed, false);
+  ++m_life_number;
+  m_highest_ended.clear();
+  m_ended.clear();
+  m_looks.clear();
+  m_end_count = 0;
+  stored_ends = 0;
+  paces.clear();
+  m_run_until = Millis(0);
+  m_born_at = m_clock.Now();
+  life.id = m_name;
+  life.born_unix_ms = m_clock.Now().count();
+}
+
+Millis FakeRunWorker::WorkerClock() const {
+  return (m_clock.Now() - m_born_at) * kClockPercent / 100;
+}
+
+void FakeRunWorker::SetWorker(const WorkerLife&, const std::string&) {}
+
+void FakeRunWorker::LoseAgent() {
+  m_answers.clear();
+  m_looks.clear();
+}
+
+void FakeRunWorker::Answer(Millis delay, std::function<void()> answer) {
+  m_answers.push_back({m_clock.Now() + delay, std::move(answer)});
+}
+
+void FakeRunWorker::Start(const StartRequest& request, StartDone done) {
+  ++m_start_calls;
+  const uint64_t number = m_life_number;
+  if (mode == Mode::kDown) {
+    Answer(kAnswerTime, [done] { done({StartVerdict::kDeclined, {}}); });
+    return;
+  }
+  if (mode == Mode::kLate) {
+    m_late_orders.push_back({m_clock.Now() + late_by, [this, request, number] {
+                               if (number == m_life_number)
+                                 Begin(request);
+                             }});
+  }
+  if (mode == Mode::kMute)
+    Begin(request);
+  if (mode == Mode::kLate || mode == Mode::kMute) {
+    Answer(kTimeout, [done] { done(StartAnswer()); });
+    return;
+  }
+  const StartAnswer answer = Begin(request);
+  Answer(kAnswerTime, [done, answer] { done(answer); });
+}
+
+StartAnswer FakeRunWorker::Begin(const StartRequest& request) {
+  StartAnswer answer;
+  answer.worker_clock = WorkerClock();
+  const auto running = m_running.find(request.task);
+  if (running != m_running.end() && running->second.run == request.run) {
+    answer.verdict = StartVerdict::kStarted;
+    return answer;
+  }
+  const auto ended = m_highest_ended.find(request.task);
+  const bool is_old =
+      ended != m_highest_ended.end() && request.run <= ended->second;
+  if (is_old || request.run_until <= WorkerClock()) {
+    answer.verdict = StartVerdict::kOutdated;
+    return answer;
+  }
+  m_run_until = std::max(
+      m_run_until, std::min(request.run_until, WorkerClock() + kLongestStep));
+  Execution execution;
+  execution.task = request.task;
+  execution.run = request.run;
+  execution.worker = m_name;
+  execution.begin = m_clock.Now();
+  m_running[request.task] = {request.run, m_clock.Now(), executions.size()};
+  executions.push_back(std::move(execution));
+  answer.verdict = StartVerdict::kStarted;
+  return answer;
+}
+
+void FakeRunWorker::Stop(const TaskName& task,
+                         RunNumber run,
+                         uint64_t,
+                         StopDone done) {
+  if (mode == Mode::kDown || mode == Mode::kMute) {
+    Answer(kTimeout, [done] { done(false); });
+    return;
+  }
+  RunNumber& highest = m_highest_ended[task];
+  highest = std::max(highest, run);
+  const auto it = m_running.find(task);
+  if (it != m_running.end() && it->second.run <= run)
+    End(task, RunEndKind::kStopped);
+  Answer(kAnswerTime, [done] { done(true); });
+}
+
+void FakeRunWorker::Look(const LookRequest& request, LookDone done) {
+  if (mode == Mode::kDown || mode == Mode::kMute) {
+    Answer(request.wait + kTimeout, [done] { done(std::nullopt); });
+    return;
+  }
+  if (request.run_until) {
+    m_run_until = std::max(m_run_until, std::min(*request.run_until,
+                                                 WorkerClock() + kLongestStep));
+  }
+  stored_ends = std::max(stored_ends, request.stored_ends);
+  std::erase_if(
+      m_ended, [this](const EndRow& row) { return row.number <= stored_ends; });
+  m_looks.push_back(
+      {m_clock.Now() + request.wait, m_life_number, std::move(done)});
+}
+
+void FakeRunWorker::SetPace(const TaskName& task,
+                            RunNumber,
+                            int64_t percent,
+                            uint64_t,
+                            StopDone done) {
+  paces[task] = percent;
+  Answer(kAnswerTime, [done] { done(true); });
+}
+
+void FakeRunWorker::Step() {
+  const Millis now = m_clock.Now();
+  if (mode == Mode::kDown)
+    EndAll(RunEndKind::kLapsed, false);
+  if (!m_running.empty() && WorkerClock() >= m_run_until)
+    EndAll(RunEndKind::kLapsed, true);
+  std::vector<std::pair<TaskName, RunEndKind>> over;
+  for (const auto& [task, running] : m_running) {
+    const Millis age = now - running.since;
+    if (mode == Mode::kFailing && age >= kFailAfter)
+      over.emplace_back(task, RunEndKind::kFailed);
+    else if (mode != Mode::kHanging && !runs_for_ever && age >= duration)
+      over.emplace_back(task, RunEndKind::kDone);
+  }
+  for (const auto& [task, kind] : over)
+    End(task, kind);
+  std::vector<Delayed> due;
+  for (std::vector<Delayed>* queue : {&m_late_orders, &m_answers}) {
+    std::erase_if(*queue, [&](const Delayed& delayed) {
+      if (delayed.due > now)
+        return false;
+      due.push_back(delayed);
+      return true;
+    });
+  }
+  std::vector<WaitingLook> answered;
+  std::erase_if(m_looks, [&](const WaitingLook& look) {
+    if (look.answer_at > now && m_ended.empty())
+      return false;
+    answered.push_back(look);
+    return true;
+  });
+  for (const Delayed& delayed : due)
+    delayed.action();
+  for (const WaitingLook& look : answered)
+    look.done(MakeAnswer());
+}
+
+LookAnswer FakeRunWorker::MakeAnswer() const {
+  LookAnswer answer;
+  answer.worker_clock = WorkerClock();
+  answer.born_unix_ms = life.born_unix_ms;
+  for (const auto& [task, running] : m_running) {
+    RunRow row;
+    row.task = task;
+    row.run = running.run;
+    if (mode != Mode::kHanging) {
+      row.percent =
+          std::min<int64_t>(100, (m_clock.Now() - running.since).count() * 100 /
+                                     std::max<int64_t>(duration.count(), 1));
+    }
+    answer.running.push_back(std::move(row));
+  }
+  answer.ended = m_ended;
+  return answer;
+}
+
+void FakeRunWorker::End(const TaskName& task, RunEndKind kind) {
+  const Running running = m_running.at(task);
+  m_running.erase(task);
+  RunNumber& highest = m_highest_ended[task];
+  highest = std::max(highest, running.run);
+  EndRow row;
+  row.number = ++m_end_count;
+  row.task = task;
+  row.run = running.run;
+  row.kind = kind;
+  if (kind == RunEndKind::kStopped)
+    row.checkpoint = "progress of run " + std::to_string(running.run);
+  m_ended.push_back(std::move(row));
+  Execution& execution = executions[running.execution];
+  execution.end = m_clock.Now();
+  execution.is_over = true;
+  execution.kind = kind;
+}
+
+void FakeRunWorker::EndAll(RunEndKind kind, bool is_listed) {
+  std::vector<TaskName> tasks;
+  for (const auto& [task, running] : m_running)
+    tasks.push_back(task);
+  for (const TaskName& task : tasks)
+    End(task, kind);
+  if (!is_listed)
+    m_ended.clear();
+}
+
+}  // namespace fulmarrock::test
--- /dev/null
+++ b/tests/support/workflow_cluster.cc
@@ -0,0 +1,288 @@
+#include "tests/support/workflow_cluster.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace fulmarrock::test {
+namespace {
+
+constexpr Millis kAnnounceInterval{500};
+constexpr Millis kLease{8'000};
+
+}  // namespace
+
+class WorkflowCluster::FixedWallClock : public WallClock {
+ public:
+  explicit FixedWallClock(const Clock& clock) : m_clock(clock) {}
+  int64_t NowUnixMs() const override { return m_clock.Now().count(); }
+
+ private:
+  const Clock& m_clock;
+};
+
+WorkflowCluster::WorkflowCluster(size_t member_count,
+                                 size_t agent_count,
+                                 uint64_t seed)
+    : random(seed),
+      network(clock, random),
+      log(clock),
+      m_wall_clock(std::make_unique<FixedWallClock>(clock)) {
+  for (size_t i = 0; i < member_count; ++i) {
+    members.push_back(std::make_unique<ControlNode>());
+    members[i]->node = "control" + std::to_string(i);
+    StartMember(i);
+  }
+  log.ChangeLeader(members[0]->node);
+  for (size_t i = 0; i < agent_count; ++i) {
+    agents.push_back(
+        std::make_unique<AgentNode>(clock, "agent" + std::to_string(i)));
+    StartAgent(i);
+  }
+  WorkflowGatewayOptions options;
+  options.id = "entry";
+  for (const auto& member : members)
+    options.control_members.push_back(member->node);
+  gateway = std::make_unique<WorkflowGateway>(
+      options, clock, network.TransportOf("entry"), random, decisions);
+  network.SetHandler("entry",
+                     [this](const NodeId& from, const Message& message) {
+                       gateway->OnMessage(from, message);
+                     });
+}
+
+WorkflowCluster::~WorkflowCluster() = default;
+
+void WorkflowCluster::StartMember(size_t index) {
+  ControlNode& member = *members[index];
+  member.role = std::make_unique<ControlRole>(member.node, clock,
+                                              network.TransportOf(member.node),
+                                              random, member.scheduler);
+  WorkflowOptions options;
+  options.lease = kLease;
+  member.role->AttachLog(log.Connect(member.node, *member.role));
+  member.role->ConfigureWorkflows(options, *m_wall_clock, decisions);
+  network.SetHandler(member.node,
+                     [&member](const NodeId& from, const Message& message) {
+                       member.role->OnMessage(from, message);
+                     });
+}
+
+void WorkflowCluster::CrashMember(size_t index) {
+  ControlNode& member = *members[index];
+  network.SetHandler(member.node, nullptr);
+  log.Disconnect(member.node);
+  member.role.reset();
+}
+
+void WorkflowCluster::StartAgent(size_t index) {
+  AgentNode& agent = *agents[index];
+  WorkflowRunnerOptions options;
+  options.id = agent.node;
+  options.incarnation = random.Next() | 1;
+  for (const auto& member : members)
+    options.control_members.push_back(member->node);
+  options.stop_limit = Millis(50);
+  agent.runner = std::make_unique<WorkflowRunner>(
+      options, clock, network.TransportOf(agent.node), agent.worker,
+      [] { return std::make_unique<LatencyGuidedPace>(); }, decisions);
+  network.SetHandler(agent.node,
+                     [&agent](const NodeId& from, const Message& message) {
+                       agent.runner->OnMessage(from, message);
+                     });
+  Announce(agent);
+}
+
+void WorkflowCluster::CrashAgent(size_t index) {
+  network.SetHandler(agents[index]->node, nullptr);
+  agents[index]->worker.LoseAgent();
+  agents[index]->runner.reset();
+}
+
+void WorkflowCluster::Announce(AgentNode& agent) {
+  if (!agent.runner || agent.worker.mode == FakeRunWorker::Mode::kDown ||
+      agent.worker.mode == FakeRunWorker::Mode::kMute) {
+    return;
+  }
+  WorkerAnnouncement announcement;
+  announcement.life = agent.worker.life;
+  announcement.address = "127.0.0.1:1";
+  announcement.offer.service = "svc";
+  announcement.offer.cpu_millicores = 4'000;
+  announcement.offer.memory_mib = 4'096;
+  announcement.is_leaving = agent.is_leaving;
+  announcement.sequence = ++agent.sequence;
+  announcement.worker_clock = agent.worker.WorkerClock();
+  agent.runner->OnAnnouncement(announcement);
+}
+
+void WorkflowCluster::ChangeLeader(size_t index) {
+  log.ChangeLeader(members[index]->node);
+}
+
+ControlRole& WorkflowCluster::leader() {
+  const auto it = std::find_if(
+      members.begin(), members.end(),
+      [this](const auto& member) { return member->node == log.leader(); });
+  return *(*it)->role;
+}
+
+void WorkflowCluster::Run(Millis duration) {
+  const Millis end = clock.Now() + duration;
+  while (clock.Now() < end)
+    Step();
+}
+
+void WorkflowCluster::Step() {
+  const Millis end = clock.Now() + kTickInterval;
+  for (;;) {
+    const Millis due = std::min(network.NextDue(), log.NextDue());
+    if (due > end)
+      break;
+    clock.Set(std::max(due, clock.Now()));
+    network.DeliverDue();
+    log.Advance();
+  }
+  clock.Set(end);
+  log.Advance();
+  const bool is_announcing = clock.Now() >= m_next_announcement;
+  if (is_announcing)
+    m_next_announcement = clock.Now() + kAnnounceInterval;
+  for (auto& member : members) {
+    if (member->role)
+      member->role->OnTick();
+  }
+  for (auto& agent : agents) {
+    agent->worker.Step();
+    if (is_announcing)
+      Announce(*agent);
+    if (agent->runner)
+      agent->runner->OnTick();
+  }
+  gateway->OnTick();
+}
+
+void WorkflowCluster::SetDirectory(uint64_t version, uint32_t max_attempts) {
+  QueueDirectory directory;
+  directory.version = version;
+  QueueSettings queue;
+  queue.name = "q";
+  queue.host = "queue.example";
+  queue.path_prefix = "/q/";
+  queue.service = "svc";
+  queue.max_attempts = max_attempts;
+  queue.slack_factor = 2.0;
+  queue.target_duration = Millis(500);
+  queue.timeout = Millis(3'000);
+  directory.queues.push_back(queue);
+  directory.services.push_back({"svc", true});
+  std::optional<bool> is_done;
+  leader().SetDirectory(directory, [&](const Result<bool>& result) {
+    is_done = result.has_value();
+  });
+  for (int i = 0; i < 100 && !is_done; ++i)
+    Step();
+}
+
+CallAnswer WorkflowCluster::Call(WorkflowCall call) {
+  call.host = "queue.example";
+  call.path = "/q/";
+  std::optional<CallAnswer> answer;
+  gateway->Call(std::move(call), Millis(3'000),
+                [&](const CallAnswer& result) { answer = result; });
+  for (int i = 0; i < 400 && !answer; ++i)
+    Step();
+  return answer.value_or(CallAnswer());
+}
+
+CallAnswer WorkflowCluster::Submit(const WorkflowSpec& spec) {
+  submitted.push_back(spec);
+  WorkflowCall call;
+  call.kind = WorkflowCallKind::kSubmit;
+  call.key = spec.key;
+  call.spec = spec;
+  return Call(std::move(call));
+}
+
+CallAnswer WorkflowCluster::Cancel(WorkflowKey key) {
+  WorkflowCall call;
+  call.kind = WorkflowCallKind::kCancel;
+  call.key = key;
+  return Call(std::move(call));
+}
+
+WorkflowPhase WorkflowCluster::PhaseOf(WorkflowKey key) {
+  WorkflowCall call;
+  call.kind = WorkflowCallKind::kShow;
+  call.key = key;
+  return Call(std::move(call)).reply.phase;
+}
+
+std::vector<Execution> WorkflowCluster::Executions() const {
+  std::vector<Execution> all;
+  for (const auto& agent : agents) {
+    all.insert(all.end(), agent->worker.executions.begin(),
+               agent->worker.executions.end());
+  }
+  std::sort(all.begin(), all.end(), [](const auto& left, const auto& right) {
+    return left.begin < right.begin;
+  });
+  return all;
+}
+
+std::string WorkflowCluster::FindViolation() const {
+  std::map<TaskName, std::vector<Execution>> by_task;
+  for (const Execution& execution : Executions())
+    by_task[execution.task].push_back(execution);
+  for (const auto& [task, executions] : by_task) {
+    for (size_t i = 1; i < executions.size(); ++i) {
+      const Execution& earlier = executions[i - 1];
+      if (!earlier.is_over || earlier.end > executions[i].begin)
+        return ToString(task) + " ran twice at a time";
+      // A worker that started again may carry out an order to its earlier life.
+      const bool is_same_worker = executions[i].worker == earlier.worker;
+      if (executions[i].run < earlier.run ||
+          (executions[i].run == earlier.run && !is_same_worker))
+        return ToString(task) + " started again under an old run";
+    }
+    const auto spec =
+        std::find_if(submitted.begin(), submitted.end(),
+                     [&, key = task.workflow](const WorkflowSpec& other) {
+                       return other.key == key;
+                     });
+    if (spec == submitted.end())
+      return ToString(task) + " was never submitted";
+    for (const uint32_t earlier : spec->steps[task.step].depends_on) {
+      for (uint32_t i = 0; i < spec->steps[earlier].count; ++i) {
+        const auto before =
+            by_task.find({task.workflow, task.occurrence, earlier, i});
+        const bool is_done =
+            before != by_task.end() && before->second.back().is_over &&
+            before->second.back().kind == RunEndKind::kDone &&
+            before->second.back().end <= executions.front().begin;
+        if (!is_done)
+          return ToString(task) + " ran before what it depends on";
+      }
+    }
+  }
+  return {};
+}
+
+WorkflowSpec MakeChain(WorkflowKey key, const std::vector<uint32_t>& counts) {
+  WorkflowSpec spec;
+  spec.key = key;
+  spec.payload = "payload";
+  for (uint32_t i = 0; i < counts.size(); ++i) {
+    StepSpec step;
+    step.count = counts[i];
+    step.cpu_millicores = 1'000;
+    step.memory_mib = 256;
+    step.estimate = Millis(300);
+    if (i > 0)
+      step.depends_on = {i - 1};
+    spec.steps.push_back(std::move(step));
+  }
+  return spec;
+}
+
+}  // namespace fulmarrock::test
--- /dev/null
+++ b/tests/support/workflow_cluster.h
@@ -0,0 +1,97 @@
+#ifndef TESTS_SUPPORT_WORKFLOW_CLUSTER_H_
+#define TESTS_SUPPORT_WORKFLOW_CLUSTER_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "source/agent/workflow_runner.h"
+#include "source/base/seeded_random.h"
+#include "source/control/control_role.h"
+#include "source/entry/workflow_gateway.h"
+#include "tests/support/fake_log.h"
+#include "tests/support/fake_network.h"
+#include "tests/support/fake_run_worker.h"
+#include "tests/support/first_fit_scheduler.h"
+#include "tests/support/manual_clock.h"
+#include "tests/support/printing_decision_log.h"
+
+namespace fulmarrock::test {
+
+/// Control members, an entry, and agents with workers, on a manual clock. An
+/// oracle watches what the workers did.
+class WorkflowCluster {
+ public:
+  struct ControlNode {
+    NodeId node;
+    FirstFitScheduler scheduler;
+    std::unique_ptr<ControlRole> role;
+  };
+  struct AgentNode {
+    AgentNode(const Clock& clock, const std::string& name)
+        : node(name), worker(clock, "worker of " + name) {}
+    NodeId node;
+    FakeRunWorker worker;
+    std::unique_ptr<WorkflowRunner> runner;
+    uint64_t sequence = 0;
+    bool is_leaving = false;
+  };
+
+  WorkflowCluster(size_t members, size_t agents, uint64_t seed);
+  ~WorkflowCluster();
+
+  /// Advances the time in steps of one tick.
+  void Run(Millis duration);
+
+  void CrashMember(size_t index);
+  void StartMember(size_t index);
+  void CrashAgent(size_t index);
+  void StartAgent(size_t index);
+  /// Makes another member lead.
+  void ChangeLeader(size_t index);
+  ControlRole& leader();
+  const WorkflowState& state() { return leader().state().workflows(); }
+
+  /// Sets one queue, "queue.example" "/q/", for the service "svc".
+  void SetDirectory(uint64_t version, uint32_t max_attempts = 3);
+
+  /// Calls through the entry and waits for the answer.
+  CallAnswer Call(WorkflowCall call);
+  CallAnswer Submit(const WorkflowSpec& spec);
+  CallAnswer Cancel(WorkflowKey key);
+  WorkflowPhase PhaseOf(WorkflowKey key);
+
+  /// All executions of all workers, in the order of their begin.
+  std::vector<Execution> Executions() const;
+
+  /// Returns what broke a rule, or an empty text: two runs of a task at a time,
+  /// a start after a completion, a step before those it depends on.
+  std::string FindViolation() const;
+
+  ManualClock clock;
+  SeededRandom random;
+  FakeNetwork network;
+  FakeLog log;
+  PrintingDecisionLog decisions{clock};
+  std::vector<std::unique_ptr<ControlNode>> members;
+  std::vector<std::unique_ptr<AgentNode>> agents;
+  std::unique_ptr<WorkflowGateway> gateway;
+  std::vector<WorkflowSpec> submitted;
+
+ private:
+  class FixedWallClock;
+  void Step();
+  void Announce(AgentNode& agent);
+
+  std::unique_ptr<FixedWallClock> m_wall_clock;
+  Millis m_next_announcement;
+};
+
+/// A workflow with steps of one or more equal tasks, each step after the one
+/// before it.
+WorkflowSpec MakeChain(WorkflowKey key, const std::vector<uint32_t>& counts);
+
+}  // namespace fulmarrock::test
+
+#endif  // TESTS_SUPPORT_WORKFLOW_CLUSTER_H_
--- /dev/null
+++ b/tests/workflow/decisions_test.cc
@@ -0,0 +1,118 @@
+#include <catch2/catch.hpp>
+
+#include "source/control/worker_link.h"
+#include "source/workflow/worker_health.h"
+#include "source/workflow/workflow_order.h"
+#include "source/workflow/workflow_state.h"
+#include "tests/support/workflow_cluster.h"
+
+namespace fulmarrock::test {
+namespace {
+
+constexpr Millis kNow{1'000'000};
+
+WorkerReport MakeReport(std::vector<uint64_t> sequences, uint64_t stored) {
+  WorkerReport report;
+  report.agent = 5;
+  report.life = {"w", 1};
+  report.stored_sequence = stored;
+  for (const uint64_t sequence : sequences) {
+    RunEvent event;
+    event.sequence = sequence;
+    report.events.push_back(std::move(event));
+  }
+  return report;
+}
+
+}  // namespace
+
+TEST_CASE("Events behind a gap wait, as acknowledging them would lose others") {
+  const WorkflowState state;
+  WorkerLink link("agent", state);
+  const WorkerReport gap = MakeReport({3, 4}, 1);
+  link.OnReport(gap, 1, kNow);
+  CHECK(link.TakeEvents(gap).empty());
+  const WorkerReport whole = MakeReport({2, 3, 4}, 1);
+  link.OnReport(whole, 1, kNow);
+  CHECK(link.TakeEvents(whole).size() == 3);
+  CHECK(link.TakeEvents(whole).empty());
+}
+
+TEST_CASE(
+    "A worker that fails several workflows in a row is set aside and "
+    "tried with one run") {
+  WorkerHealth health;
+  health.OnFailure(1, {1, 0, 0, 0}, kNow);
+  CHECK(health.IsUsable(1, kNow));
+  CHECK_FALSE(health.IsTrusted(1));
+  health.OnFailure(1, {2, 0, 0, 0}, kNow);
+  CHECK_FALSE(health.IsUsable(1, kNow));
+  const Millis later = kNow + Millis(2'000);
+  REQUIRE(health.IsUsable(1, later));
+  health.OnAssigned(1, {3, 0, 0, 0});
+  CHECK_FALSE(health.IsUsable(1, later));
+  health.OnSuccess(1, later);
+  CHECK(health.IsTrusted(1));
+}
+
+TEST_CASE("A workflow that fails everywhere does not count against workers") {
+  WorkerHealth health;
+  for (WorkerNumber worker = 1; worker <= 5; ++worker) {
+    for (uint32_t i = 0; i < 3; ++i)
+      health.OnFailure(worker, {9, 0, 0, i}, kNow);
+  }
+  for (WorkerNumber worker = 1; worker <= 5; ++worker)
+    CHECK(health.IsUsable(worker, kNow));
+}
+
+TEST_CASE("A burst of late work does not delay what can still be on time") {
+  QueueSettings queue;
+  queue.slack_factor = 2.0;
+  queue.target_duration = Millis(500);
+  WorkflowRecord late;
+  late.spec = MakeChain(1, {1});
+  late.spec.steps[0].estimate = Millis(2'000);
+  late.occurrences.resize(1);
+  late.occurrences[0].steps.resize(1);
+  late.occurrences[0].steps[0].tasks.resize(1);
+  WorkflowRecord fresh = late;
+  fresh.spec.key = 2;
+  std::vector<ReadyStep> steps = {{&late, &queue, 0, 0, kNow - Millis(6'000)},
+                                  {&fresh, &queue, 0, 0, kNow}};
+  std::vector<ReadyStep> by_arrival = steps;
+  ObjectiveOrder().Sort(steps, kNow);
+  ArrivalOrder().Sort(by_arrival, kNow);
+  CHECK(steps[0].workflow->spec.key == 2);
+  CHECK(by_arrival[0].workflow->spec.key == 1);
+}
+
+TEST_CASE("A specification that cannot run is refused with its reason") {
+  WorkflowSpec spec = MakeChain(1, {1, 1});
+  CHECK(ValidateWorkflow(spec));
+  spec.steps[0].depends_on = {1};
+  CHECK_FALSE(ValidateWorkflow(spec));
+  spec = MakeChain(1, {1});
+  spec.steps[0].depends_on = {4};
+  CHECK_FALSE(ValidateWorkflow(spec));
+  spec.steps.clear();
+  CHECK_FALSE(ValidateWorkflow(spec));
+}
+
+TEST_CASE("A state that went through a snapshot assigns and ends runs alike") {
+  WorkflowCluster cluster(1, 2, 3);
+  cluster.SetDirectory(1);
+  for (auto& agent : cluster.agents)
+    agent->worker.duration = Millis(3'000);
+  cluster.Run(Millis(1'000));
+  cluster.Submit(MakeChain(7, {4, 2}));
+  cluster.Run(Millis(1'000));
+  WorkflowState copy;
+  copy.Restore(cluster.state().Save());
+  CHECK(copy.open() == cluster.state().open());
+  for (const auto& [number, worker] : cluster.state().workers())
+    CHECK(copy.RunsOf(number) == cluster.state().RunsOf(number));
+  CHECK(copy.directory().version == 1);
+  CHECK(copy.Find(7)->active == 4);
+}
+
+}  // namespace fulmarrock::test
--- /dev/null
+++ b/tests/workflow/pressure_test.cc
@@ -0,0 +1,209 @@
+#include <catch2/catch.hpp>
+
+#include "source/agent/filler_control.h"
+#include "source/base/seeded_random.h"
+#include "source/workflow/pressure_model.h"
+#include "source/workflow/run_placement.h"
+
+// Fillers beside tasks that serve. Load pattern: few pairs of images disturb
+// each other strongly, most not at all, and the serving load swings.
+
+namespace fulmarrock::test {
+namespace {
+
+double Noise(SeededRandom& random, double size) {
+  return (static_cast<double>(random.Below(2'001)) / 1'000 - 1) * size;
+}
+
+FillerFigure Filler(const char* image, int64_t cpu, int64_t pace = 100) {
+  return {image, cpu, pace};
+}
+
+/// A model that knows: "heavy" adds 20% per core to "touchy", nothing else
+/// disturbs anything.
+LinearPressureModel TrainedModel() {
+  LinearPressureModel model;
+  SeededRandom random(7);
+  for (int i = 0; i < 300; ++i) {
+    const auto heavy = static_cast<int64_t>(random.Below(3'000));
+    const auto light = static_cast<int64_t>(random.Below(3'000));
+    const std::vector<FillerFigure> fillers = {Filler("heavy", heavy),
+                                               Filler("light", light)};
+    const double touchy =
+        40 + 20.0 * static_cast<double>(heavy) / 1'000 + Noise(random, 15);
+    const double calm = 40 + Noise(random, 15);
+    const std::vector<ServingFigure> serving = {
+        {"touchy", static_cast<int64_t>(touchy)},
+        {"calm", static_cast<int64_t>(calm)}};
+    model.Record(serving, fillers);
+  }
+  return model;
+}
+
+StepSpec FillerStep(const char* image) {
+  StepSpec step;
+  step.is_filler = true;
+  step.image = image;
+  step.cpu_millicores = 2'000;
+  step.memory_mib = 100;
+  return step;
+}
+
+struct Worker {
+  explicit Worker(const char* serving_image) : room(Offer()) {
+    StepSpec serving_step;
+    serving_step.is_lasting = true;
+    serving_step.image = serving_image;
+    serving_step.cpu_millicores = 8'000;
+    serving_step.memory_mib = 100;
+    room.Add({1, 0, 0, 0}, serving_step);
+    figures = {{serving_image, 45}};
+  }
+  static WorkerOffer Offer() {
+    WorkerOffer offer;
+    offer.service = "svc";
+    offer.cpu_millicores = 16'000;
+    offer.memory_mib = 10'000;
+    return offer;
+  }
+  WorkerCandidate Candidate() {
+    WorkerCandidate candidate;
+    candidate.offer = &offer;
+    candidate.room = &room;
+    candidate.serving = figures;
+    candidate.fillers = fillers;
+    return candidate;
+  }
+  WorkerOffer offer = Offer();
+  WorkerRoom room;
+  std::vector<ServingFigure> figures;
+  std::vector<FillerFigure> fillers;
+};
+
+std::unique_ptr<FillerPacePolicy> MakePace() {
+  return std::make_unique<LatencyGuidedPace>();
+}
+
+}  // namespace
+
+TEST_CASE("The model finds the pair that disturbs among swinging loads") {
+  const LinearPressureModel model = TrainedModel();
+  CHECK(model.Expect("touchy", "heavy").is_known);
+  CHECK(model.Expect("touchy", "heavy").percent_per_core ==
+        Approx(20).margin(3));
+  CHECK(model.Expect("touchy", "light").percent_per_core < 3);
+  CHECK(model.Expect("calm", "heavy").percent_per_core < 3);
+  CHECK(model.BaseOf("calm") == Approx(40).margin(6));
+}
+
+TEST_CASE("An unknown pair is expected to disturb a little and is not known") {
+  const LinearPressureModel model = TrainedModel();
+  CHECK_FALSE(model.Expect("touchy", "new").is_known);
+  CHECK(model.Expect("touchy", "new").percent_per_core > 0);
+}
+
+TEST_CASE("A filler goes where it disturbs nobody, the baseline anywhere") {
+  const LinearPressureModel model = TrainedModel();
+  const SharedRunPlacement placement(model);
+  Worker touchy("touchy");
+  Worker calm("calm");
+  const std::vector<WorkerCandidate> candidates = {touchy.Candidate(),
+                                                   calm.Candidate()};
+  const StepSpec step = FillerStep("heavy");
+  RunRequest request;
+  request.task = {2, 0, 0, 0};
+  request.step = &step;
+  request.service = "svc";
+  CHECK(placement.Choose(request, candidates) == size_t{1});
+  CHECK(FirstFitRunPlacement().Choose(request, candidates) == size_t{0});
+}
+
+TEST_CASE("A filler waits where it would push a latency over its target") {
+  const LinearPressureModel model = TrainedModel();
+  const SharedRunPlacement placement(model);
+  Worker touchy("touchy");
+  const StepSpec step = FillerStep("heavy");
+  touchy.room.Add({2, 0, 0, 0}, step);
+  const std::vector<WorkerCandidate> candidates = {touchy.Candidate()};
+  RunRequest request;
+  request.task = {2, 0, 0, 1};
+  request.step = &step;
+  request.service = "svc";
+  CHECK_FALSE(placement.Choose(request, candidates).has_value());
+  request.is_starving = true;
+  CHECK(placement.Choose(request, candidates).has_value());
+}
+
+TEST_CASE("Slowed-down fillers do not keep harmless ones from a worker") {
+  const LinearPressureModel model = TrainedModel();
+  const SharedRunPlacement placement(model);
+  Worker touchy("touchy");
+  const StepSpec heavy = FillerStep("heavy");
+  for (uint32_t i = 0; i < 6; ++i)
+    touchy.room.Add({2, 0, 0, i}, heavy);
+  touchy.fillers = {Filler("heavy", 0, 0)};
+  const std::vector<WorkerCandidate> candidates = {touchy.Candidate()};
+  const StepSpec light = FillerStep("light");
+  RunRequest request;
+  request.task = {3, 0, 0, 0};
+  request.step = &light;
+  request.service = "svc";
+  CHECK(placement.Choose(request, candidates).has_value());
+}
+
+TEST_CASE("Only the fillers that disturb a task are slowed down for it") {
+  FillerControl control(&MakePace);
+  const std::vector<PressureSlope> slopes = {{"touchy", "heavy", 20},
+                                             {"touchy", "light", 0}};
+  control.SetSlopes(slopes);
+  const std::vector<FillerUse> uses = {{"heavy", 3'000}, {"light", 3'000}};
+  Millis now(1'000'000);
+  const std::vector<ServingFigure> serving = {{"touchy", 120}};
+  for (int i = 0; i < 10; ++i) {
+    now += Millis(200);
+    control.Update(serving, uses, now);
+  }
+  CHECK(control.PercentOf("heavy") < 50);
+  CHECK(control.PercentOf("light") == 100);
+}
+
+TEST_CASE(
+    "A latency that its own load raises gives way to no filler for long") {
+  FillerControl control(&MakePace);
+  const std::vector<PressureSlope> slopes = {{"touchy", "heavy", 20}};
+  control.SetSlopes(slopes);
+  Millis now(1'000'000);
+  const std::vector<FillerUse> idle = {{"heavy", 0}};
+  const std::vector<ServingFigure> high = {{"touchy", 150}};
+  for (int i = 0; i < 20; ++i) {
+    now += Millis(200);
+    control.Update(high, idle, now);
+  }
+  CHECK(control.PercentOf("heavy") == 0);
+  const std::vector<ServingFigure> low = {{"touchy", 30}};
+  for (int i = 0; i < 40; ++i) {
+    now += Millis(200);
+    control.Update(low, idle, now);
+  }
+  CHECK(control.PercentOf("heavy") > 50);
+}
+
+TEST_CASE("Lasting tasks of one image share workers") {
+  const LinearPressureModel model;
+  const SharedRunPlacement placement(model);
+  Worker calm("calm");
+  Worker touchy("touchy");
+  const std::vector<WorkerCandidate> candidates = {calm.Candidate(),
+                                                   touchy.Candidate()};
+  StepSpec step;
+  step.is_lasting = true;
+  step.image = "touchy";
+  step.cpu_millicores = 2'000;
+  RunRequest request;
+  request.task = {9, 0, 0, 0};
+  request.step = &step;
+  request.service = "svc";
+  CHECK(placement.Choose(request, candidates) == size_t{1});
+}
+
+}  // namespace fulmarrock::test
--- /dev/null
+++ b/tests/workflow/worker_lease_test.cc
@@ -0,0 +1,76 @@
+#include <catch2/catch.hpp>
+
+#include "source/agent/worker_lease.h"
+#include "source/workflow/worker_leases.h"
+
+namespace fulmarrock::test {
+namespace {
+
+constexpr Millis kStart{1'000'000};
+constexpr Millis kStep{6'000};
+
+/// Reading of a worker's clock that began at kStart and runs 2% slow.
+Millis SlowClock(Millis now) {
+  return (now - kStart) * 98 / 100;
+}
+
+}  // namespace
+
+TEST_CASE("A slow worker's lease ends before the one that control granted") {
+  WorkerLease lease(kStart, kStep);
+  lease.OnGranted(kStart, Millis(4'000));
+  lease.OnWorkerClock(SlowClock(kStart), kStart);
+  const auto until = lease.TakeExtension(kStart + Millis(10));
+  REQUIRE(until.has_value());
+  CHECK(*until <= SlowClock(kStart + Millis(4'000)));
+}
+
+TEST_CASE("Nothing is extended without a grant or a worker's clock") {
+  WorkerLease lease(kStart, kStep);
+  CHECK_FALSE(lease.TakeExtension(kStart).has_value());
+  lease.OnGranted(kStart, Millis(4'000));
+  CHECK_FALSE(lease.TakeExtension(kStart).has_value());
+  lease.OnWorkerClock(Millis(0), kStart);
+  CHECK(lease.TakeExtension(kStart).has_value());
+  CHECK_FALSE(lease.TakeExtension(kStart + Millis(4'000)).has_value());
+}
+
+TEST_CASE(
+    "A worker's runs count as over only when its slow clock passed them") {
+  WorkerLease lease(kStart, kStep);
+  lease.ResetWorker(kStart);
+  lease.OnGranted(kStart, Millis(60'000));
+  lease.OnWorkerClock(SlowClock(kStart), kStart);
+  const Millis until = *lease.TakeExtension(kStart);
+  Millis now = kStart;
+  while (!lease.HasSurelyLapsed(now))
+    now += Millis(10);
+  CHECK(SlowClock(now) >= until);
+  CHECK(now - kStart < kStep);
+}
+
+TEST_CASE("A new agent process assumes that its predecessor just extended") {
+  const WorkerLease lease(kStart, kStep);
+  CHECK_FALSE(lease.HasSurelyLapsed(kStart + kStep));
+  CHECK(lease.HasSurelyLapsed(kStart + kStep + Millis(400)));
+}
+
+TEST_CASE("A new leader waits a whole term for a worker it never heard") {
+  WorkerLeases leases(Millis(10'000));
+  leases.Reset(kStart);
+  leases.Add(1);
+  CHECK(leases.TakeExpired(kStart + Millis(10'000)).empty());
+  CHECK(leases.TakeExpired(kStart + Millis(10'500)).size() == 1);
+}
+
+TEST_CASE("A worker whose runs are being released gets no new lease") {
+  WorkerLeases leases(Millis(10'000));
+  leases.Reset(kStart);
+  leases.Add(1);
+  REQUIRE(leases.TakeExpired(kStart + Millis(11'000)).size() == 1);
+  CHECK_FALSE(leases.OnReport(1, kStart + Millis(11'001)));
+  leases.OnReleased(1);
+  CHECK(leases.OnReport(1, kStart + Millis(11'002)));
+}
+
+}  // namespace fulmarrock::test
--- /dev/null
+++ b/tests/workflow/workflow_random_test.cc
@@ -0,0 +1,95 @@
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+
+#include "tests/support/workflow_cluster.h"
+
+// Random faults of workers, agents, links and leaders against the oracle: no
+// task runs twice at a time or after its completion, steps keep their order,
+// and everything completes once the faults are over.
+
+namespace fulmarrock::test {
+namespace {
+
+using Mode = FakeRunWorker::Mode;
+
+constexpr size_t kMembers = 3;
+constexpr size_t kAgents = 3;
+
+void ApplyFault(WorkflowCluster& cluster, int fault, size_t index) {
+  auto& agent = *cluster.agents[index % kAgents];
+  switch (fault) {
+    case 0:
+      agent.worker.mode = Mode::kMute;
+      break;
+    case 1:
+      agent.worker.mode = Mode::kLate;
+      break;
+    case 2:
+      agent.worker.mode = Mode::kDown;
+      break;
+    case 3:
+      agent.worker.Restart();
+      break;
+    case 4:
+      if (agent.runner)
+        cluster.CrashAgent(index % kAgents);
+      break;
+    case 5:
+      cluster.network.Isolate(agent.node);
+      break;
+    case 6:
+      cluster.ChangeLeader(index % kMembers);
+      break;
+    case 7:
+      agent.worker.mode = Mode::kHanging;
+      break;
+    default:
+      break;
+  }
+}
+
+void HealAll(WorkflowCluster& cluster) {
+  cluster.network.HealAll();
+  for (size_t i = 0; i < kAgents; ++i) {
+    auto& agent = *cluster.agents[i];
+    if (agent.worker.mode == Mode::kDown)
+      agent.worker.Restart();
+    agent.worker.mode = Mode::kNormal;
+    if (!agent.runner)
+      cluster.StartAgent(i);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("Random faults break no rule, and all work completes afterwards") {
+  CHECK(rc::check([] {
+    const auto seed = *rc::gen::inRange<uint64_t>(1, 1'000'000);
+    const auto faults =
+        *rc::gen::container<std::vector<std::pair<int, size_t>>>(rc::gen::pair(
+            rc::gen::inRange(0, 9), rc::gen::inRange<size_t>(0, 6)));
+    WorkflowCluster cluster(kMembers, kAgents, seed);
+    cluster.network.SetDelay(Millis(1), Millis(3));
+    cluster.SetDirectory(1, 50);
+    cluster.Run(Millis(1'000));
+    WorkflowKey key = 1;
+    for (const auto& [fault, index] : faults) {
+      cluster.Submit(MakeChain(key++, {2, 3}));
+      ApplyFault(cluster, fault, index);
+      cluster.Run(
+          Millis(static_cast<int64_t>(100 + cluster.random.Below(1'500))));
+      RC_ASSERT(cluster.FindViolation() == "");
+      if (cluster.random.Below(3) == 0)
+        HealAll(cluster);
+    }
+    HealAll(cluster);
+    cluster.Run(Millis(30'000));
+    RC_ASSERT(cluster.FindViolation() == "");
+    for (const WorkflowSpec& spec : cluster.submitted) {
+      const WorkflowRecord* workflow = cluster.state().Find(spec.key);
+      RC_ASSERT(!workflow || workflow->phase == WorkflowPhase::kCompleted);
+    }
+  }));
+}
+
+}  // namespace fulmarrock::test
