Workflows: Report a lapse until control has taken it

The agent now repeats the lapse until an order answers a report that carried it, and takes no runs before that.

--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -113,6 +113,7 @@
   m_worker = announcement;
   m_has_left = false;
   m_was_lapsed = false;
+  m_is_lapse_unreported = false;
   ++m_life_number;
   m_runs.clear();
   m_confirmed.clear();
@@ -204,7 +205,10 @@
     m_counters.Add("agent_expired_orders");
     return;
   }
-  if (m_was_lapsed || orders.report_sent_at < m_lapsed_at)
+  if (orders.report_sent_at < m_lapsed_at)
+    return;
+  m_is_lapse_unreported = false;
+  if (m_was_lapsed)
     return;
   for (const StartOrder& order : orders.starts)
     OnStartOrder(order);
@@ -627,6 +631,7 @@
     return;
   m_was_lapsed = true;
   m_lapsed_at = m_clock.Now();
+  m_is_lapse_unreported = true;
   // A worker that comes back is looked at before it gets runs again.
   m_has_looked = false;
   m_needs_full = true;
@@ -671,9 +676,10 @@
   report.sent_at = now;
   report.life = m_worker->life;
   report.offer = m_worker->offer;
-  report.has_lapsed = HasLapsed();
-  report.is_taking = !m_worker->is_leaving && !m_has_left && !m_is_stopping &&
-                     m_has_looked && IsWorkerReachable();
+  report.has_lapsed = HasLapsed() || m_is_lapse_unreported;
+  report.is_taking = !report.has_lapsed && !m_worker->is_leaving &&
+                     !m_has_left && !m_is_stopping && m_has_looked &&
+                     IsWorkerReachable();
   report.is_full = m_needs_full && m_has_looked;
   if (report.is_full) {
     for (const auto& [task, local] : m_runs) {
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -131,6 +131,7 @@
   bool m_was_lapsed = false;
   // Starts that control ordered before it knew of a lapse are void.
   Millis m_lapsed_at;
+  bool m_is_lapse_unreported = false;
   bool m_is_stopping = false;
   const Millis m_started_at;
   WorkerLease m_lease;
--- a/tests/workflow/workflow_random_test.cc
+++ b/tests/workflow/workflow_random_test.cc
@@ -17,6 +17,11 @@
 
 void ApplyFault(WorkflowCluster& cluster, int fault, size_t index) {
   auto& agent = *cluster.agents[index % kAgents];
+  // A worker that was down comes back as a new life.
+  if (agent.worker.mode == Mode::kDown) {
+    agent.worker.Restart();
+    agent.worker.mode = Mode::kNormal;
+  }
   switch (fault) {
     case 0:
       agent.worker.mode = Mode::kMute;
@@ -85,6 +90,9 @@
     HealAll(cluster);
     cluster.Run(Millis(30'000));
     RC_ASSERT(cluster.FindViolation() == "");
+    for (const auto& agent : cluster.agents)
+      RC_LOG() << agent->runner->DumpState() << "\n";
+    RC_LOG() << cluster.leader().DumpState() << "\n";
     for (const WorkflowSpec& spec : cluster.submitted) {
       const WorkflowRecord* workflow = cluster.state().Find(spec.key);
       RC_ASSERT(!workflow || workflow->phase == WorkflowPhase::kCompleted);
