--- a/source/agent/filler_control.cc
+++ b/source/agent/filler_control.cc
@@ -19,6 +19,12 @@
 /// Largest growth of a share from one look to the next, in percent.
 constexpr int64_t kStepUpPercent = 25;
 
+constexpr int64_t kTargetPercent = 100;
+/// A latency that has been over its target for this long is not explained by
+/// what is known of the images, and all fillers stop. It takes up to two
+/// seconds to come down again.
+constexpr Millis kStopAllAfter{2'200};
+
 /// Shares are left alone while the wanted change is this small, in percent.
 constexpr int64_t kDeadBandPercent = 4;
 
@@ -35,6 +41,7 @@
 void FillerControl::Reset() {
   m_images.clear();
   m_serving.clear();
+  m_over_since = Millis(0);
 }
 
 void FillerControl::SetSlopes(std::span<const PressureSlope> slopes) {
@@ -47,13 +54,14 @@
                            Millis now) {
   m_serving.assign(serving.begin(), serving.end());
   Smooth(uses, now);
+  const int64_t emergency = EmergencyShare(now);
   for (auto it = m_images.begin(); it != m_images.end();) {
     if (now - it->second.seen_at > kForgetAfter) {
       it = m_images.erase(it);
       continue;
     }
     Image& image = it->second;
-    image.percent = ChoosePercent(it->first, image, now);
+    image.percent = std::min(ChoosePercent(it->first, image, now), emergency);
     ++it;
   }
 }
@@ -81,6 +89,19 @@
   }
 }
 
+int64_t FillerControl::EmergencyShare(Millis now) {
+  int64_t worst = 0;
+  for (const ServingFigure& figure : m_serving)
+    worst = std::max(worst, figure.latency_percent);
+  if (worst <= kTargetPercent) {
+    m_over_since = Millis(0);
+    return 100;
+  }
+  if (m_over_since == Millis(0))
+    m_over_since = now;
+  return now - m_over_since >= kStopAllAfter ? 0 : 100;
+}
+
 int64_t FillerControl::ChoosePercent(const std::string& name,
                                      Image& image,
                                      Millis now) {
--- a/source/agent/filler_control.h
+++ b/source/agent/filler_control.h
@@ -64,6 +64,9 @@
   /// Slope of a pair; nothing while it is not known.
   std::optional<double> SlopeOf(const std::string& filler,
                                 const std::string& serving) const;
+  /// Share that all fillers keep within while some latency stays over its
+  /// target, whatever is known of the images, in percent.
+  int64_t EmergencyShare(Millis now);
   ServingLatency LatencyFor(const std::string& image, const Image& state) const;
   /// Share at which all fillers together are expected to keep the latency that
   /// an image disturbs most within bounds, in percent; nothing while a pair is
@@ -77,6 +80,8 @@
   std::map<std::string, std::map<std::string, double>> m_slopes;
   std::vector<ServingFigure> m_serving;
   Millis m_updated_at;
+  // Since when a latency has been over its target; zero for not.
+  Millis m_over_since;
 };
 
 }  // namespace fulmarrock
--- a/source/workflow/workflow_scheduler.cc
+++ b/source/workflow/workflow_scheduler.cc
@@ -238,7 +238,8 @@
       std::any_of(others.begin(), others.end(), [&](const auto& candidate) {
         return candidate.offer->service == request.service;
       });
-  if (has_other_worker && !request.is_starving)
+  // A lasting task may fail anywhere, and each moment without it is lost.
+  if (has_other_worker && !request.is_starving && !request.step->is_lasting)
     return std::nullopt;
   return m_placement.Choose(request, candidates);
 }
--- a/tests/workflow/workflow_cluster_test.cc
+++ b/tests/workflow/workflow_cluster_test.cc
@@ -250,6 +250,25 @@
   CHECK(cluster.FindViolation().empty());
 }
 
+TEST_CASE("A lasting task that failed starts again where there is room") {
+  // Found on a hunted day: brindle-fulmar, trouble-1 --seed 428538760709.
+  WorkflowCluster cluster(3, 2, 1);
+  cluster.SetDirectory(1);
+  for (auto& agent : cluster.agents)
+    agent->worker.runs_for_ever = true;
+  cluster.Run(Millis(1'000));
+  WorkflowSpec spec = MakeChain(7, {8});
+  spec.steps[0].is_lasting = true;
+  cluster.Submit(spec);
+  cluster.Run(Millis(1'000));
+  cluster.agents[0]->worker.mode = Mode::kFailing;
+  cluster.Run(Millis(50));
+  cluster.agents[0]->worker.mode = Mode::kNormal;
+  cluster.Run(Millis(6'000));
+  CHECK(cluster.agents[0]->worker.running_count() == 4);
+  CHECK(cluster.agents[1]->worker.running_count() == 4);
+}
+
 TEST_CASE("A task that always fails ends its workflow after its attempts") {
   WorkflowCluster cluster(3, 3, 1);
   cluster.SetDirectory(1, 3);
