--- a/tests/config/settings_test.cc
+++ b/tests/config/settings_test.cc
@@ -75,3 +75,35 @@
 
 }  // namespace
 }  // namespace fulmarrock
+
+namespace fulmarrock::test {
+
+TEST_CASE("Seeds name control members by their IP number") {
+  const Result<Settings> settings = ParseSettings(R"({
+    "node": "10.0.0.9", "data_centre": "dc", "roles": ["agent"],
+    "peer_listen": "10.0.0.9:7720", "http_listen": "10.0.0.9:7721",
+    "control_seeds": ["10.0.0.1:8166", "10.0.0.2:8166"],
+    "workflow": {"worker_listen": "10.0.0.9:8166", "lease_ms": 9000}})");
+  REQUIRE(settings);
+  REQUIRE(settings->control_members.size() == 2);
+  CHECK(settings->control_members[0].node == "10.0.0.1");
+  CHECK(settings->control_members[0].peer_address == "10.0.0.1:7720");
+  CHECK(settings->finds_members);
+  CHECK(settings->workflow->lease == Millis(9'000));
+}
+
+TEST_CASE("Wrong workflow settings are reported with their place") {
+  const Result<Settings> settings = ParseSettings(R"({
+    "node": "n", "data_centre": "dc", "roles": ["agent"],
+    "peer_listen": "10.0.0.9:7720", "http_listen": "10.0.0.9:7721",
+    "control_seeds": ["somewhere"],
+    "workflow": {"lease_ms": 3, "leases": 4},
+    "consensus": {"heartbeat_ms": 500, "election_timeout_min_ms": 600}})");
+  REQUIRE_FALSE(settings);
+  const std::string text = settings.error().Describe();
+  for (const char* place : {"/control_seeds", "/workflow/lease_ms",
+                            "/workflow/leases", "election_timeout_min_ms"})
+    CHECK(text.find(place) != std::string::npos);
+}
+
+}  // namespace fulmarrock::test
--- /dev/null
+++ b/tests/control/group_keeper_test.cc
@@ -0,0 +1,108 @@
+#include <catch2/catch.hpp>
+
+#include "source/control/group_keeper.h"
+#include "tests/support/manual_clock.h"
+
+namespace fulmarrock::test {
+namespace {
+
+/// A log whose members and leadership a test sets.
+class ScriptedLog : public ReplicatedLog {
+ public:
+  Result<LogIndex> Propose(std::string) override { return LogIndex{1}; }
+  bool IsLeader() const override { return is_leader; }
+  NodeId Leader() const override { return leader; }
+  Term CurrentTerm() const override { return 1; }
+  LogIndex CommitIndex() const override { return 1; }
+  std::vector<NodeId> SilentMembers(Millis) const override { return silent; }
+  Incarnation OwnIncarnation() const override { return 11; }
+  std::vector<Member> Members() const override { return members; }
+  Result<LogIndex> AddMember(const NodeId& node,
+                             Incarnation incarnation) override {
+    added.push_back({node, incarnation, false});
+    return LogIndex{2};
+  }
+  Result<LogIndex> RemoveMember(const NodeId& node) override {
+    removed.push_back(node);
+    return LogIndex{2};
+  }
+
+  bool is_leader = false;
+  NodeId leader;
+  std::vector<Member> members;
+  std::vector<NodeId> silent;
+  std::vector<Member> added;
+  std::vector<NodeId> removed;
+};
+
+class RecordingTransport : public Transport {
+ public:
+  void Send(const NodeId& to, const Message&) override { sent.push_back(to); }
+  void LearnAddress(const NodeId&, std::string_view) override {}
+
+  std::vector<NodeId> sent;
+};
+
+struct Fixture {
+  ManualClock clock;
+  RecordingTransport transport;
+  ScriptedLog log;
+  NullDecisionLog decisions;
+  GroupKeeper keeper{"me", {"a", "b", "me"}, clock, transport, log, decisions};
+};
+
+}  // namespace
+
+TEST_CASE("A member that is not in the group asks those it knows, in time") {
+  Fixture fixture;
+  fixture.keeper.OnTick();
+  CHECK(fixture.transport.sent == std::vector<NodeId>{"a", "b"});
+  fixture.keeper.OnTick();
+  CHECK(fixture.transport.sent.size() == 2);
+  fixture.keeper.OnMessage("a", GroupView{"c", {"a", "c"}});
+  fixture.clock.Advance(Millis(600));
+  fixture.keeper.OnTick();
+  CHECK(fixture.transport.sent.size() == 5);
+}
+
+TEST_CASE(
+    "A member that was removed while away asks again when no leader "
+    "speaks to it") {
+  Fixture fixture;
+  fixture.log.members = {{"me", 11, true}, {"a", 1, true}};
+  fixture.keeper.OnTick();
+  CHECK(fixture.transport.sent.empty());
+  fixture.clock.Advance(Millis(4'000));
+  fixture.keeper.OnTick();
+  CHECK_FALSE(fixture.transport.sent.empty());
+}
+
+TEST_CASE("The old identity of a member goes before the new one comes") {
+  Fixture fixture;
+  fixture.log.is_leader = true;
+  fixture.log.leader = "me";
+  fixture.log.members = {{"me", 11, true}, {"a", 1, true}, {"b", 2, true}};
+  fixture.keeper.OnMessage("a", JoinRequest{7});
+  CHECK(fixture.log.removed == std::vector<NodeId>{"a"});
+  CHECK(fixture.log.added.empty());
+  fixture.log.members = {{"me", 11, true}, {"b", 2, true}};
+  fixture.keeper.OnMessage("a", JoinRequest{7});
+  REQUIRE(fixture.log.added.size() == 1);
+  CHECK(fixture.log.added[0].incarnation == 7);
+}
+
+TEST_CASE("Only an even group drops a silent member, and never below three") {
+  Fixture fixture;
+  fixture.log.is_leader = true;
+  fixture.log.leader = "me";
+  fixture.log.silent = {"a"};
+  fixture.log.members = {{"me", 11, true}, {"a", 1, true}, {"b", 2, true}};
+  fixture.keeper.OnTick();
+  CHECK(fixture.log.removed.empty());
+  fixture.log.members.push_back({"c", 3, true});
+  fixture.clock.Advance(Millis(1'100));
+  fixture.keeper.OnTick();
+  CHECK(fixture.log.removed == std::vector<NodeId>{"a"});
+}
+
+}  // namespace fulmarrock::test
