--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -57,9 +57,7 @@
 
   const std::deque<RunEvent>& events() const { return m_events; }
   /// Events up to here are stored.
-  uint64_t stored_sequence() const {
-    return m_last_sequence - m_events.size();
-  }
+  uint64_t stored_sequence() const { return m_last_sequence - m_events.size(); }
   uint64_t last_sequence() const { return m_last_sequence; }
   /// Number of the worker's ends up to which all are stored.
   uint64_t stored_end() const { return m_stored_end; }
