Workflows: Learn pressure in logarithms, pace by the largest contributor

The linear model followed single latencies of up to 15 times the target, so that harmless images counted as disturbing; agents slowed fillers from 85% of a target on and took eight seconds to speed them up again.

Change: the model fits the logarithm of a latency, growth is never negative, and tasks of one image on a worker count as one figure. An agent slows the images that contribute most to a latency, from 100% of its target on, and speeds them up within about two seconds; all fillers still stop when a latency has been over its target for 2.2 s. Fillers take the workers first that suit the fewest images. Lasting tasks go where they shut out the fewest filler images, and fill workers instead of spreading.

--- a/source/agent/filler_control.h
+++ b/source/agent/filler_control.h
@@ -21,9 +21,9 @@
   int64_t cpu_millicores = 0;
 };
 
-/// Paces the fillers of each image by the latency of those tasks that they are
-/// known, or not yet known not, to disturb. Fillers that disturb nobody beside
-/// them work at full speed.
+/// Paces the fillers of each image by the latency of those tasks that they
+/// disturb most, or are not yet known to leave alone. The others follow only
+/// when a latency stays over its target all the same.
 class FillerControl {
  public:
   using MakePolicy = std::function<std::unique_ptr<FillerPacePolicy>()>;
@@ -53,30 +53,27 @@
   struct Image {
     std::unique_ptr<FillerPacePolicy> policy;
     int64_t percent = 100;
-    Millis raised_at;
     double smoothed_cpu = 0;
-    /// What they use at full speed, as far as seen.
-    int64_t full_cpu = 0;
     Millis seen_at;
   };
 
   void Smooth(std::span<const FillerUse> uses, Millis now);
-  /// Slope of a pair; nothing while it is not known.
-  std::optional<double> SlopeOf(const std::string& filler,
-                                const std::string& serving) const;
   /// Share that all fillers keep within while some latency stays over its
   /// target, whatever is known of the images, in percent.
   int64_t EmergencyShare(Millis now);
+  /// Growth of a serving image's latency, as a logarithm, that the fillers of
+  /// an image cause now. Nothing while the pair is not known.
+  std::optional<double> Contribution(const std::string& filler,
+                                     const Image& state,
+                                     const std::string& serving) const;
+  /// Largest of the known contributions to a serving image's latency.
+  double LargestContribution(const std::string& serving) const;
+  /// Latency that the fillers of an image answer for.
   ServingLatency LatencyFor(const std::string& image, const Image& state) const;
-  /// Share at which all fillers together are expected to keep the latency that
-  /// an image disturbs most within bounds, in percent; nothing while a pair is
-  /// not known.
-  std::optional<int64_t> ExpectedShare(const std::string& image,
-                                       const Image& state) const;
-  int64_t ChoosePercent(const std::string& name, Image& image, Millis now);
 
   const MakePolicy m_make_policy;
   std::map<std::string, Image, std::less<>> m_images;
+  // Growth per processor, by filler image and serving image.
   std::map<std::string, std::map<std::string, double>> m_slopes;
   std::vector<ServingFigure> m_serving;
   Millis m_updated_at;
--- a/source/agent/filler_pace.cc
+++ b/source/agent/filler_pace.cc
@@ -6,39 +6,43 @@
 namespace {
 
 /// Latency, in percent of the target, from which fillers are slowed down.
-constexpr int64_t kHighPercent = 85;
+constexpr int64_t kHighPercent = 100;
 /// Latency, in percent of the target, below which they are sped up.
-constexpr int64_t kLowPercent = 65;
+constexpr int64_t kLowPercent = 85;
 
-constexpr int64_t kStepUpPercent = 10;
+/// Latency, in percent of the target, from which nothing but a stop of the
+/// fillers brings it down in time.
+constexpr int64_t kStopPercent = 180;
+/// Share that is left after a decrease, in percent of the share before.
+constexpr int64_t kDecreasePercent = 60;
+constexpr int64_t kStepUpPercent = 20;
 constexpr Millis kDecreaseInterval{500};
-constexpr Millis kIncreaseInterval{700};
+constexpr Millis kIncreaseInterval{400};
 /// Pause before the first increase after a decrease.
-constexpr Millis kRecoveryPause{1'500};
+constexpr Millis kRecoveryPause{700};
 
 }  // namespace
 
-int64_t LatencyGuidedPace::Update(const ServingLatency& latency, Millis now) {
-  if (latency.worst_percent < 0) {
-    m_percent = 100;
-    return m_percent;
-  }
+int64_t LatencyGuidedPace::Update(const ServingLatency& latency,
+                                  int64_t percent,
+                                  Millis now) {
+  if (latency.worst_percent < 0)
+    return 100;
   if (latency.worst_percent > kHighPercent) {
     if (now < m_next_decrease)
-      return m_percent;
-    // Far above the target nothing but a stop brings the latency down in time.
-    const bool is_far_above = latency.worst_percent > 130;
-    m_percent = is_far_above ? 0 : m_percent * 6 / 10;
+      return percent;
     m_next_decrease = now + kDecreaseInterval;
     m_next_increase = now + kRecoveryPause;
-    return m_percent;
+    return latency.worst_percent > kStopPercent
+               ? 0
+               : percent * kDecreasePercent / 100;
   }
-  if (latency.worst_percent < kLowPercent && m_percent < 100 &&
+  if (latency.worst_percent < kLowPercent && percent < 100 &&
       now >= m_next_increase) {
-    m_percent = std::min<int64_t>(100, m_percent + kStepUpPercent);
     m_next_increase = now + kIncreaseInterval;
+    return std::min<int64_t>(100, percent + kStepUpPercent);
   }
-  return m_percent;
+  return percent;
 }
 
 }  // namespace fulmarrock
--- a/source/agent/filler_pace.h
+++ b/source/agent/filler_pace.h
@@ -19,14 +19,19 @@
  public:
   virtual ~FillerPacePolicy() = default;
 
-  /// Takes a new figure and returns the share in percent.
-  virtual int64_t Update(const ServingLatency& latency, Millis now) = 0;
+  /// Takes a new figure and the share at which the fillers work. Returns the
+  /// share at which they should work, in percent.
+  virtual int64_t Update(const ServingLatency& latency,
+                         int64_t percent,
+                         Millis now) = 0;
 };
 
 /// Baseline: fillers always work at full speed.
 class FullPace : public FillerPacePolicy {
  public:
-  int64_t Update(const ServingLatency&, Millis) override { return 100; }
+  int64_t Update(const ServingLatency&, int64_t, Millis) override {
+    return 100;
+  }
 };
 
 /// Slows fillers down at once when a latency nears its target, by a factor that
@@ -35,10 +40,11 @@
 /// next figures are waited for.
 class LatencyGuidedPace : public FillerPacePolicy {
  public:
-  int64_t Update(const ServingLatency& latency, Millis now) override;
+  int64_t Update(const ServingLatency& latency,
+                 int64_t percent,
+                 Millis now) override;
 
  private:
-  int64_t m_percent = 100;
   Millis m_next_decrease;
   Millis m_next_increase;
 };
--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -99,6 +99,7 @@
       DecisionLine("worker_life")
           .With("life", announcement.life.id)
           .With("born", announcement.life.born_unix_ms)
+          .With("cpu_millicores", announcement.offer.cpu_millicores)
           .With("lost_runs", static_cast<int64_t>(m_runs.size())));
   const bool is_first = !m_worker;
   for (const auto& [task, local] : m_runs)
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -20,7 +20,7 @@
 
 /// How often slowed-down fillers are looked for, and how many move then.
 constexpr Millis kMoveInterval{500};
-constexpr size_t kMovesAtOnce = 4;
+constexpr size_t kMovesAtOnce = 12;
 
 /// How often the leader logs how much work waits and runs.
 constexpr Millis kLoadLineInterval{1'000};
--- a/source/control/workflow_service.h
+++ b/source/control/workflow_service.h
@@ -114,7 +114,7 @@
   const ReplicatedLog* m_log = nullptr;
 
   ObjectiveOrder m_order;
-  LinearPressureModel m_pressure;
+  ExponentialPressureModel m_pressure;
   SharedRunPlacement m_placement{m_pressure};
   Millis m_next_slopes;
   Millis m_next_load_line;
--- a/source/message/workflow_messages.h
+++ b/source/message/workflow_messages.h
@@ -150,13 +150,13 @@
 struct PressureSlope {
   std::string serving_image;
   std::string filler_image;
-  /// Growth of the tail latency, in percent of its target, for each processor
-  /// that the fillers use.
-  double percent_per_core = 0;
+  /// Natural logarithm of the factor by which the tail latency grows for each
+  /// processor that the fillers use.
+  double growth_per_core = 0;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
-    visitor(self.serving_image, self.filler_image, self.percent_per_core);
+    visitor(self.serving_image, self.filler_image, self.growth_per_core);
   }
 };
 
--- a/source/workflow/pressure_model.h
+++ b/source/workflow/pressure_model.h
@@ -14,9 +14,9 @@
 
 /// What is expected of a pair of images.
 struct Pressure {
-  /// Growth of the tail latency, in percent of its target, for each processor
-  /// that the fillers use.
-  double percent_per_core = 0;
+  /// Natural logarithm of the factor by which the tail latency grows for each
+  /// processor that the fillers use; zero or more.
+  double growth_per_core = 0;
   /// Whether enough was measured to rely on it.
   bool is_known = false;
 };
@@ -37,6 +37,9 @@
   /// Expected latency, in percent of the target, without any filler.
   virtual double BaseOf(std::string_view serving_image) const = 0;
 
+  /// Filler images that were measured.
+  virtual std::vector<std::string> FillerImages() const = 0;
+
   /// All known pairs.
   virtual std::vector<PressureSlope> KnownSlopes() const = 0;
 
@@ -52,26 +55,29 @@
     return {};
   }
   double BaseOf(std::string_view) const override { return 0; }
+  std::vector<std::string> FillerImages() const override { return {}; }
   std::vector<PressureSlope> KnownSlopes() const override { return {}; }
   void Clear() override {}
 };
 
-/// A linear model for each serving image: latency = base + the sum over filler
-/// images of slope times processors used. The coefficients follow from
-/// recursive least squares, with some noise added at each step so that old
-/// measurements fade.
-class LinearPressureModel : public PressureModel {
+/// An exponential model for each serving image: the logarithm of the latency is
+/// a base plus the sum over filler images of growth times processors used. It
+/// follows single high figures less than a linear model would. The coefficients
+/// follow from recursive least squares, with some noise added at each step so
+/// that old measurements fade. No filler lowers a latency.
+class ExponentialPressureModel : public PressureModel {
  public:
   void Record(std::span<const ServingFigure> serving,
               std::span<const FillerFigure> fillers) override;
   Pressure Expect(std::string_view serving_image,
                   std::string_view filler_image) const override;
   double BaseOf(std::string_view serving_image) const override;
+  std::vector<std::string> FillerImages() const override;
   std::vector<PressureSlope> KnownSlopes() const override;
   void Clear() override;
 
  private:
-  /// Estimate of one serving image. Index 0 is the base.
+  /// Estimate of one serving image, in logarithms. Index 0 is the base.
   struct Estimate {
     std::vector<double> mean;
     /// Covariance of the coefficients, row by row.
@@ -83,7 +89,7 @@
   static void Grow(Estimate& estimate, size_t size);
   static void Update(Estimate& estimate,
                      const std::vector<double>& inputs,
-                     double latency_percent);
+                     double log_latency);
 
   // Position of each filler image among the coefficients, from 1.
   std::map<std::string, size_t, std::less<>> m_indices;
--- a/source/workflow/run_placement.cc
+++ b/source/workflow/run_placement.cc
@@ -1,6 +1,9 @@
 #include "source/workflow/run_placement.h"
 
 #include <algorithm>
+#include <cmath>
+#include <string>
+#include <vector>
 
 namespace fulmarrock {
 namespace {
@@ -11,14 +14,17 @@
 
 /// A filler goes nowhere where a latency would exceed this part of its target,
 /// in percent, because of it.
-constexpr double kHighestLatency = 85;
-/// Growth of a latency, in percent of its target, that is put up with.
-constexpr double kNegligiblePressure = 5;
-/// How far above its mean a latency without fillers is expected to rise, in
-/// percent of the target.
-constexpr double kLoadSwing = 8;
-/// Workers whose latencies would grow by about as much are equally good.
-constexpr double kPressureStep = 10;
+constexpr double kHighestLatency = 95;
+/// Growth of a latency, as a logarithm, that is put up with.
+constexpr double kNegligibleGrowth = 0.08;
+/// Factor by which a latency without fillers is expected to rise above its
+/// mean.
+constexpr double kLoadSwing = 1.1;
+/// Workers whose latencies would grow by about as much, as a logarithm, are
+/// equally good.
+constexpr double kGrowthStep = 0.15;
+
+constexpr double kMillicores = 1'000;
 
 bool HasLabel(const WorkerOffer& offer, std::string_view label) {
   return std::find(offer.labels.begin(), offer.labels.end(), label) !=
@@ -76,11 +82,17 @@
 struct SharedRunPlacement::Cost {
   int distrust = 0;
   int distance = 0;
+  /// For lasting tasks: filler images that disturb nothing on the worker yet,
+  /// but would disturb the task.
+  int64_t lost_images = 0;
   /// For lasting tasks: different images that would share the worker, unless
   /// the task's own is there already.
   size_t images = 0;
-  /// For fillers: added latency in steps of kPressureStep.
-  int64_t pressure = 0;
+  /// For fillers: growth of latencies in steps of kGrowthStep.
+  int64_t growth = 0;
+  /// For fillers: other filler images that could run there without harm. A
+  /// worker that suits few images is taken first.
+  int64_t suited_images = 0;
   int64_t measure = 0;
 
   auto operator<=>(const Cost&) const = default;
@@ -114,50 +126,82 @@
   if (!step.data_rack.empty() && !HasLabel(*candidate.offer, step.data_rack))
     cost.distance = 1;
   if (step.is_lasting) {
-    const auto& images = candidate.room->lasting_images();
-    cost.images = images.contains(step.image) ? 0 : images.size() + 1;
-    cost.measure = -candidate.room->free_cpu();
-  } else {
-    cost.measure = candidate.room->free_cpu();
+    const auto& images = candidate.room->serving_images();
+    const bool is_new = !images.contains(step.image);
+    cost.lost_images =
+        is_new ? CountSuited(candidate, "") - CountSuited(candidate, step.image)
+               : 0;
+    cost.images = is_new ? images.size() + 1 : 0;
   }
+  cost.measure = candidate.room->free_cpu();
   return cost;
 }
 
-double SharedRunPlacement::ExpectedLatency(
-    const ServingFigure& figure,
-    const WorkerCandidate& candidate) const {
-  double measured = 0;
-  double at_full_speed = 0;
+double SharedRunPlacement::BaseLatency(std::string_view image,
+                                       const WorkerCandidate& candidate) const {
+  // The load of a serving task swings; a low moment must not attract fillers
+  // that have to be slowed down soon after.
+  double latency = m_pressure.BaseOf(image) * kLoadSwing;
+  double growth = 0;
   for (const FillerFigure& filler : candidate.fillers) {
-    measured += m_pressure.Expect(figure.image, filler.image).percent_per_core *
-                static_cast<double>(filler.cpu_millicores) / 1'000;
+    growth += m_pressure.Expect(image, filler.image).growth_per_core *
+              static_cast<double>(filler.cpu_millicores) / kMillicores;
   }
-  for (const auto& [image, cpu] : candidate.room->filler_cpu_by_image()) {
-    at_full_speed += m_pressure.Expect(figure.image, image).percent_per_core *
-                     static_cast<double>(cpu) / 1'000;
+  for (const ServingFigure& figure : candidate.serving) {
+    if (figure.image == image) {
+      latency = std::max(latency, static_cast<double>(figure.latency_percent) /
+                                      std::exp(growth));
+    }
   }
-  // The load of a serving task swings; a low moment must not attract fillers
-  // that have to be slowed down soon after.
-  const double base =
-      std::max(static_cast<double>(figure.latency_percent) - measured,
-               m_pressure.BaseOf(figure.image) + kLoadSwing);
-  return base + at_full_speed;
+  return latency;
+}
+
+double SharedRunPlacement::GrowthAtFullSpeed(
+    std::string_view image,
+    const WorkerCandidate& candidate) const {
+  double growth = 0;
+  for (const auto& [filler, cpu] : candidate.room->filler_cpu_by_image()) {
+    growth += m_pressure.Expect(image, filler).growth_per_core *
+              static_cast<double>(cpu) / kMillicores;
+  }
+  return growth;
+}
+
+bool SharedRunPlacement::IsHarmless(std::string_view serving,
+                                    std::string_view filler) const {
+  return m_pressure.Expect(serving, filler).growth_per_core < kNegligibleGrowth;
+}
+
+int64_t SharedRunPlacement::CountSuited(const WorkerCandidate& candidate,
+                                        std::string_view extra) const {
+  const auto& serving = candidate.room->serving_images();
+  const std::vector<std::string> fillers = m_pressure.FillerImages();
+  return std::count_if(
+      fillers.begin(), fillers.end(), [&](const std::string& filler) {
+        const bool suits_extra = extra.empty() || IsHarmless(extra, filler);
+        return suits_extra &&
+               std::all_of(serving.begin(), serving.end(),
+                           [&](const auto& item) {
+                             return IsHarmless(item.first, filler);
+                           });
+      });
 }
 
 std::optional<SharedRunPlacement::Cost> SharedRunPlacement::FillerCostOf(
     const RunRequest& request,
     const WorkerCandidate& candidate) const {
   const StepSpec& step = *request.step;
-  const double cores = static_cast<double>(step.cpu_millicores) / 1'000;
-  double pressure = 0;
+  const double cores = static_cast<double>(step.cpu_millicores) / kMillicores;
+  double growth = 0;
   bool goes_over_target = false;
-  for (const ServingFigure& figure : candidate.serving) {
+  for (const auto& [image, count] : candidate.room->serving_images()) {
     const double added =
-        m_pressure.Expect(figure.image, step.image).percent_per_core * cores;
-    pressure += added;
-    const double expected = ExpectedLatency(figure, candidate) + added;
-    goes_over_target |=
-        added > kNegligiblePressure && expected > kHighestLatency;
+        m_pressure.Expect(image, step.image).growth_per_core * cores;
+    growth += added;
+    const double expected =
+        BaseLatency(image, candidate) *
+        std::exp(GrowthAtFullSpeed(image, candidate) + added);
+    goes_over_target |= added > kNegligibleGrowth && expected > kHighestLatency;
   }
   const int64_t speed = FillerSpeed(request, candidate);
   const bool is_unfit = goes_over_target || speed < kLowestFillerSpeed;
@@ -167,7 +211,8 @@
   cost.distrust = request.is_last_attempt && !candidate.is_trusted ? 1 : 0;
   if (!step.data_rack.empty() && !HasLabel(*candidate.offer, step.data_rack))
     cost.distance = 1;
-  cost.pressure = static_cast<int64_t>(pressure / kPressureStep);
+  cost.growth = static_cast<int64_t>(growth / kGrowthStep);
+  cost.suited_images = CountSuited(candidate, "");
   cost.measure = -speed;
   return cost;
 }
--- a/source/workflow/run_placement.h
+++ b/source/workflow/run_placement.h
@@ -81,10 +81,19 @@
   std::optional<Cost> FillerCostOf(const RunRequest& request,
                                    const WorkerCandidate& candidate) const;
 
-  /// Latency, in percent of its target, that is expected once all fillers on
-  /// the worker work at full speed.
-  double ExpectedLatency(const ServingFigure& figure,
-                         const WorkerCandidate& candidate) const;
+  /// Latency of an image, in percent of its target, that is expected on the
+  /// worker without any filler.
+  double BaseLatency(std::string_view image,
+                     const WorkerCandidate& candidate) const;
+  /// Growth of that latency, as a logarithm, once all fillers on the worker
+  /// work at full speed.
+  double GrowthAtFullSpeed(std::string_view image,
+                           const WorkerCandidate& candidate) const;
+  bool IsHarmless(std::string_view serving, std::string_view filler) const;
+  /// Filler images that disturb neither what serves on the worker nor `extra`,
+  /// which may be empty.
+  int64_t CountSuited(const WorkerCandidate& candidate,
+                      std::string_view extra) const;
 
   const PressureModel& m_pressure;
 };
--- a/source/workflow/worker_room.cc
+++ b/source/workflow/worker_room.cc
@@ -53,7 +53,8 @@
     amount.cpu_millicores = 0;
   } else if (step.is_lasting) {
     m_lasting_cpu += sign * amount.cpu_millicores;
-    AddTo(m_lasting_images, step.image, sign);
+    if (step.latency_target > Millis(0))
+      AddTo(m_serving_images, step.image, sign);
   }
   if (sign > 0)
     m_used += amount;
--- a/source/workflow/worker_room.h
+++ b/source/workflow/worker_room.h
@@ -38,9 +38,9 @@
   const std::map<std::string, int64_t>& filler_cpu_by_image() const {
     return m_filler_cpu_by_image;
   }
-  /// Images of the lasting tasks, with their number.
-  const std::map<std::string, uint32_t>& lasting_images() const {
-    return m_lasting_images;
+  /// Images of the tasks that serve, with their number.
+  const std::map<std::string, uint32_t>& serving_images() const {
+    return m_serving_images;
   }
   /// Tasks of one occurrence's step, and of a whole workflow.
   uint32_t CountOfStep(const TaskName& task) const;
@@ -61,7 +61,7 @@
   Resources m_capacity;
   Resources m_used;
   int64_t m_lasting_cpu = 0;
-  std::map<std::string, uint32_t> m_lasting_images;
+  std::map<std::string, uint32_t> m_serving_images;
   int64_t m_filler_cpu = 0;
   std::map<std::string, int64_t> m_filler_cpu_by_image;
   std::map<StepKey, uint32_t> m_by_step;
