Workflows: Remember across leaders which images disturb which

Change: pairs that are known go into the log when they changed by 0.03 or more, and a new leader begins with them. The decision log now tells of each change of the queues that a member received, redirected or committed.

Ruled out: asking the agents, which restart together with the leaders in power losses.

--- a/source/control/control_operators.cc
+++ b/source/control/control_operators.cc
@@ -52,8 +52,10 @@
 }
 
 void ControlRole::SetDirectory(QueueDirectory directory, Done<bool> done) {
-  if (!IsAccepting(done))
+  if (!IsAccepting(done)) {
+    m_workflows.LogUnservedDirectory(directory.version, m_log->Leader());
     return;
+  }
   m_next_bytes += directory.document.size() * 2;
   m_workflows.SetDirectory(
       std::move(directory), m_next.workflow,
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -1,6 +1,8 @@
 #include "source/control/workflow_service.h"
 
 #include <algorithm>
+#include <cmath>
+#include <optional>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -18,6 +20,9 @@
 /// How often agents are told what is known of the images.
 constexpr Millis kSlopeInterval{1'500};
 
+/// Change of a pair's growth from which it is stored for the next leader.
+constexpr double kStoredSlopeChange = 0.03;
+
 /// How often slowed-down fillers are looked for, and how many move then.
 constexpr Millis kMoveInterval{500};
 constexpr size_t kMovesAtOnce = 12;
@@ -55,7 +60,7 @@
   m_is_dirty = true;
   m_next_plan = now;
   m_leases.Reset(now);
-  m_pressure.Clear();
+  m_pressure.Restore(m_state.Slopes());
   m_next_slopes = now;
   for (const auto& [number, worker] : m_state.workers())
     m_leases.Add(number);
@@ -275,17 +280,29 @@
     done(valid);
     return;
   }
+  m_decisions->Write(
+      DecisionLine("directory_received")
+          .With("version", static_cast<int64_t>(directory.version))
+          .With("version_in_force",
+                static_cast<int64_t>(m_state.directory().version)));
   Caller caller;
   caller.done = std::move(done);
   next.configurations.push_back(
       {AddCaller(std::move(caller)), std::move(directory)});
 }
 
+void WorkflowService::LogUnservedDirectory(uint64_t version,
+                                           const NodeId& leader) {
+  m_decisions->Write(DecisionLine("directory_unserved")
+                         .With("version", static_cast<int64_t>(version))
+                         .With("leader", leader.empty() ? "unknown" : leader));
+}
+
 void WorkflowService::OnTick(const PlanningTime& time, WorkflowBatch& next) {
   ReleaseExpired(time, next);
   Plan(time, next);
   MoveFillers(time);
-  SendSlopes(time.now);
+  SendSlopes(time.now, next);
   LogLoad(time.now);
   SendDueOrders(time.now);
 }
@@ -329,7 +346,7 @@
           .With("workers", static_cast<int64_t>(Statuses(now).size())));
 }
 
-void WorkflowService::SendSlopes(Millis now) {
+void WorkflowService::SendSlopes(Millis now, WorkflowBatch& next) {
   if (now < m_next_slopes)
     return;
   m_next_slopes = now + kSlopeInterval;
@@ -338,6 +355,13 @@
     return;
   for (auto& [agent, link] : m_links)
     link.SetSlopes(slopes);
+  for (const PressureSlope& slope : slopes) {
+    const std::optional<double> stored = m_state.FindSlope(slope);
+    if (!stored ||
+        std::abs(*stored - slope.growth_per_core) >= kStoredSlopeChange) {
+      next.slopes.push_back(slope);
+    }
+  }
 }
 
 void WorkflowService::ReleaseExpired(const PlanningTime& time,
@@ -493,6 +517,10 @@
   const Caller caller = std::move(it->second);
   m_callers.erase(it);
   if (caller.done) {
+    m_decisions->Write(
+        DecisionLine("directory_committed")
+            .With("version_in_force",
+                  static_cast<int64_t>(m_state.directory().version)));
     caller.done({});
     return;
   }
--- a/source/control/workflow_service.h
+++ b/source/control/workflow_service.h
@@ -60,6 +60,10 @@
                     WorkflowBatch& next,
                     DirectoryDone done);
 
+  /// Notes that a change was not taken, because `leader` has to be asked, or
+  /// because no leader is known.
+  void LogUnservedDirectory(uint64_t version, const NodeId& leader);
+
   /// Releases what expired and plans runs.
   void OnTick(const PlanningTime& time, WorkflowBatch& next);
 
@@ -90,8 +94,9 @@
   void StopWorkflow(WorkflowKey key);
   void MoveRunsAway(WorkerLink& link);
   void OnStalls(WorkerLink& link, const WorkerReport& report, Millis now);
-  /// Tells the agents from time to time what is known of the images.
-  void SendSlopes(Millis now);
+  /// Tells the agents from time to time what is known of the images, and stores
+  /// what changed for the next leader.
+  void SendSlopes(Millis now, WorkflowBatch& next);
   /// Stops fillers that another worker would serve better.
   void MoveFillers(const PlanningTime& time);
   void LogLoad(Millis now);
--- a/source/workflow/pressure_model.cc
+++ b/source/workflow/pressure_model.cc
@@ -24,6 +24,9 @@
 /// Variance of a growth below which it is relied on.
 constexpr double kKnownVariance = 0.006;
 
+/// Variance of a growth that an earlier leader learned.
+constexpr double kRestoredVariance = 0.004;
+
 constexpr size_t kMaxFillerImages = 32;
 constexpr size_t kMaxServingImages = 256;
 constexpr double kMinLatencyPercent = 5;
@@ -170,9 +173,18 @@
   return slopes;
 }
 
-void ExponentialPressureModel::Clear() {
+void ExponentialPressureModel::Restore(std::span<const PressureSlope> slopes) {
   m_indices.clear();
   m_estimates.clear();
+  for (const PressureSlope& slope : slopes) {
+    const size_t index = IndexOf(slope.filler_image);
+    if (index == 0)
+      continue;
+    Estimate& estimate = m_estimates[slope.serving_image];
+    Grow(estimate, index + 1);
+    estimate.mean[index] = slope.growth_per_core;
+    estimate.covariance[index][index] = kRestoredVariance;
+  }
 }
 
 }  // namespace fulmarrock
--- a/source/workflow/pressure_model.h
+++ b/source/workflow/pressure_model.h
@@ -43,7 +43,8 @@
   /// All known pairs.
   virtual std::vector<PressureSlope> KnownSlopes() const = 0;
 
-  virtual void Clear() = 0;
+  /// Forgets everything but these pairs.
+  virtual void Restore(std::span<const PressureSlope> slopes) = 0;
 };
 
 /// Baseline: no pair disturbs.
@@ -57,7 +58,7 @@
   double BaseOf(std::string_view) const override { return 0; }
   std::vector<std::string> FillerImages() const override { return {}; }
   std::vector<PressureSlope> KnownSlopes() const override { return {}; }
-  void Clear() override {}
+  void Restore(std::span<const PressureSlope>) override {}
 };
 
 /// An exponential model for each serving image: the logarithm of the latency is
@@ -74,7 +75,7 @@
   double BaseOf(std::string_view serving_image) const override;
   std::vector<std::string> FillerImages() const override;
   std::vector<PressureSlope> KnownSlopes() const override;
-  void Clear() override;
+  void Restore(std::span<const PressureSlope> slopes) override;
 
  private:
   /// Estimate of one serving image, in logarithms. Index 0 is the base.
--- a/source/workflow/workflow_commands.h
+++ b/source/workflow/workflow_commands.h
@@ -109,17 +109,20 @@
   std::vector<SubmitWorkflow> submissions;
   std::vector<CancelWorkflow> cancellations;
   std::vector<AssignRun> assignments;
+  /// What the leader learned of images since its last batch with any.
+  std::vector<PressureSlope> slopes;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.configurations, self.workers, self.events, self.releases,
-            self.submissions, self.cancellations, self.assignments);
+            self.submissions, self.cancellations, self.assignments,
+            self.slopes);
   }
 
   bool IsEmpty() const {
     return configurations.empty() && workers.empty() && events.empty() &&
            releases.empty() && submissions.empty() && cancellations.empty() &&
-           assignments.empty();
+           assignments.empty() && slopes.empty();
   }
 };
 
--- a/source/workflow/workflow_state.cc
+++ b/source/workflow/workflow_state.cc
@@ -40,6 +40,8 @@
     Cancel(command, effects);
   for (const AssignRun& command : batch.assignments)
     Assign(command, effects);
+  for (const PressureSlope& slope : batch.slopes)
+    Remember(slope);
   effects.has_assignments = !batch.assignments.empty();
   return effects;
 }
@@ -417,10 +419,32 @@
   return count;
 }
 
+void WorkflowState::Remember(const PressureSlope& slope) {
+  const auto pair = std::make_pair(slope.serving_image, slope.filler_image);
+  if (m_slopes.size() < kMaxSlopes || m_slopes.contains(pair))
+    m_slopes[pair] = slope.growth_per_core;
+}
+
+std::optional<double> WorkflowState::FindSlope(
+    const PressureSlope& pair) const {
+  const auto it = m_slopes.find({pair.serving_image, pair.filler_image});
+  if (it == m_slopes.end())
+    return std::nullopt;
+  return it->second;
+}
+
+std::vector<PressureSlope> WorkflowState::Slopes() const {
+  std::vector<PressureSlope> slopes;
+  for (const auto& [pair, growth] : m_slopes)
+    slopes.push_back({pair.first, pair.second, growth});
+  return slopes;
+}
+
 WorkflowState::Image WorkflowState::Save() const {
   Image image;
   image.directory = m_directory;
   image.last_worker = m_last_worker;
+  image.slopes = Slopes();
   for (const auto& [key, workflow] : m_workflows)
     image.workflows.push_back(workflow);
   for (const auto& [number, worker] : m_workers)
@@ -434,6 +458,8 @@
   for (size_t i = 0; i < m_directory.queues.size(); ++i)
     m_queue_by_place[PlaceOf(m_directory.queues[i])] = i;
   m_last_worker = image.last_worker;
+  for (const PressureSlope& slope : image.slopes)
+    Remember(slope);
   for (WorkerEntry& worker : image.workers) {
     m_worker_by_agent[worker.agent] = worker.number;
     m_workers.emplace(worker.number, std::move(worker));
--- a/source/workflow/workflow_state.h
+++ b/source/workflow/workflow_state.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -71,6 +72,8 @@
   /// Submissions beyond this many open workflows are refused.
   static constexpr size_t kMaxOpen = 20'000;
   static constexpr uint32_t kMaxTasks = 20'000;
+  /// Pairs of images beyond this many are not remembered.
+  static constexpr size_t kMaxSlopes = 8'192;
 
   /// Part of a snapshot.
   struct Image {
@@ -78,10 +81,12 @@
     std::vector<WorkflowRecord> workflows;
     std::vector<WorkerEntry> workers;
     WorkerNumber last_worker = kNoWorkerNumber;
+    std::vector<PressureSlope> slopes;
 
     template <typename Self, typename Visitor>
     static void VisitFields(Self& self, Visitor& visitor) {
-      visitor(self.directory, self.workflows, self.workers, self.last_worker);
+      visitor(self.directory, self.workflows, self.workers, self.last_worker,
+              self.slopes);
     }
   };
 
@@ -112,6 +117,10 @@
   const std::set<TaskName>& RunsOf(WorkerNumber number) const;
   /// Accepted workflows of a queue of which no task has started.
   uint32_t CountPending(const QueueSettings& queue) const;
+  /// What leaders learned of pairs of images.
+  std::vector<PressureSlope> Slopes() const;
+  /// Growth that is remembered of a pair.
+  std::optional<double> FindSlope(const PressureSlope& pair) const;
   size_t workflow_count() const { return m_workflows.size(); }
 
  private:
@@ -123,6 +132,7 @@
   void Submit(const SubmitWorkflow& command, WorkflowEffects& effects);
   void Cancel(const CancelWorkflow& command, WorkflowEffects& effects);
   void Assign(const AssignRun& command, WorkflowEffects& effects);
+  void Remember(const PressureSlope& slope);
   bool CanAssign(const AssignRun& command) const;
   void Add(const SubmitWorkflow& command, const QueueSettings& queue);
 
@@ -156,6 +166,8 @@
   std::map<NodeId, WorkerNumber> m_worker_by_agent;
   std::map<WorkerNumber, std::set<TaskName>> m_runs;
   WorkerNumber m_last_worker = kNoWorkerNumber;
+  // Growth per processor by serving image and filler image.
+  std::map<std::pair<std::string, std::string>, double> m_slopes;
 };
 
 /// Checks a specification: steps, counts, sizes, dependencies. The error names
--- a/tests/workflow/pressure_test.cc
+++ b/tests/workflow/pressure_test.cc
@@ -6,6 +6,7 @@
 #include "source/base/seeded_random.h"
 #include "source/workflow/pressure_model.h"
 #include "source/workflow/run_placement.h"
+#include "source/workflow/workflow_state.h"
 
 // Fillers beside tasks that serve. Load pattern: few pairs of images disturb
 // each other strongly, most not at all, and the serving load swings.
@@ -230,6 +231,23 @@
         2 * model.Expect("touchy", "light").growth_per_core);
 }
 
+TEST_CASE("A new leader knows which pairs disturb") {
+  // Load pattern: leaders change while fillers run. Without the stored pairs,
+  // each new leader would place them beside what they disturb.
+  WorkflowState state;
+  WorkflowBatch batch;
+  batch.slopes = TrainedModel().KnownSlopes();
+  state.Apply(batch, Millis(1'000'000));
+  WorkflowState copy;
+  copy.Restore(state.Save());
+  ExponentialPressureModel model;
+  model.Restore(copy.Slopes());
+  CHECK(model.Expect("touchy", "heavy").is_known);
+  CHECK(model.Expect("touchy", "heavy").growth_per_core ==
+        TrainedModel().Expect("touchy", "heavy").growth_per_core);
+  CHECK_FALSE(model.Expect("touchy", "new").is_known);
+}
+
 TEST_CASE("A filler leaves workers free that suit more images") {
   // Load pattern: few workers suit a disturbing image. Harmless fillers must
   // not take their processors while others would do.
