Agent: Split starts without an answer, pacing and progress from the runner

Starts that may be carried out late, the pacing of fillers, and the judgement of progress have classes of their own. Two changes beside the moves: a filler that starts where its image is slowed down is told so at once instead of after the next look, and a start that can no longer arrive is not stopped in a new life.

--- /dev/null
+++ b/source/agent/run_progress.h
@@ -0,0 +1,19 @@
+#ifndef SOURCE_AGENT_RUN_PROGRESS_H_
+#define SOURCE_AGENT_RUN_PROGRESS_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "source/agent/run_table.h"
+
+namespace fulmarrock {
+
+/// Notes the progress of a run as its worker listed it, in percent.
+void NoteProgress(LocalRun& local, int64_t percent, Millis now);
+
+/// Returns the runs that make no progress although nothing slows them down.
+std::vector<RunStall> FindStalledRuns(const LocalRuns& runs, Millis now);
+
+}  // namespace fulmarrock
+
+#endif  // SOURCE_AGENT_RUN_PROGRESS_H_
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -35,6 +35,8 @@
   Millis progress_at;
 };
 
+using LocalRuns = std::map<TaskName, LocalRun>;
+
 /// Keeps the ends of runs in order until control has stored them.
 class RunEventQueue {
  public:
--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/agent/run_progress.h"
+
 namespace fulmarrock {
 namespace {
 
@@ -27,25 +29,9 @@
 /// Shortest time between looks.
 constexpr Millis kLookPause{20};
 
-/// Figures of latencies and fillers go to control this often.
-constexpr Millis kFigureInterval{500};
-/// A lasting task is at work from this share of its start-up on.
-constexpr int64_t kAtWorkPercent = 100;
-
 constexpr Millis kStopRetry{500};
 constexpr Millis kReachableFor{2'500};
 
-/// Longest delay after which a worker may carry out an order without an answer.
-constexpr Millis kLateOrderLimit{13'000};
-constexpr Millis kPaceRepeat{1'000};
-
-/// Time without progress after which a run is reported as stalled: the larger
-/// of this and a share of its estimate.
-constexpr Millis kStallAfter{2'500};
-constexpr int64_t kStallPercentOfEstimate = 60;
-/// Progress of a task that is slowed down tells nothing about the worker.
-constexpr int64_t kLowestJudgedPace = 100;
-
 }  // namespace
 
 WorkflowRunner::WorkflowRunner(WorkflowRunnerOptions options,
@@ -62,7 +48,8 @@
       m_contact(m_options.control_members),
       m_started_at(clock.Now()),
       m_lease(clock.Now(), m_options.longest_lease_step),
-      m_fillers(std::move(make_pace)) {}
+      m_unanswered(client),
+      m_pacer(clock, client, decisions, m_runs, std::move(make_pace)) {}
 
 bool WorkflowRunner::OnAnnouncement(const WorkerAnnouncement& announcement) {
   const Millis now = m_clock.Now();
@@ -102,15 +89,7 @@
           .With("cpu_millicores", announcement.offer.cpu_millicores)
           .With("lost_runs", static_cast<int64_t>(m_runs.size())));
   const bool is_first = !m_worker;
-  for (const auto& [task, local] : m_runs)
-    m_earlier_starts[task] = {local.run};
-  for (const UnansweredStart& start : m_unanswered_starts) {
-    EarlierStart& earlier = m_earlier_starts[start.task];
-    if (now < start.until)
-      earlier.run = std::max(earlier.run, start.run);
-  }
-  for (auto& [task, earlier] : m_earlier_starts)
-    earlier.is_in_flight = false;
+  m_unanswered.OnNewLife(m_runs, now);
   m_worker = announcement;
   m_has_left = false;
   m_was_lapsed = false;
@@ -123,33 +102,13 @@
   m_has_looked = false;
   m_needs_full = true;
   m_next_look = now;
-  m_fillers.Reset();
-  m_has_figures = false;
+  m_pacer.OnNewLife();
   if (!is_first)
     m_lease.ResetWorker(now);
   m_client.SetWorker(announcement.life, announcement.address);
   m_is_report_urgent = true;
 }
 
-void WorkflowRunner::StopEarlierStarts() {
-  for (auto& [task, earlier] : m_earlier_starts) {
-    if (earlier.is_in_flight)
-      continue;
-    earlier.is_in_flight = true;
-    m_client.Stop(task, earlier.run, m_term,
-                  [this, name = task, life = m_life_number](bool is_answered) {
-                    if (life != m_life_number)
-                      return;
-                    const auto it = m_earlier_starts.find(name);
-                    if (it == m_earlier_starts.end())
-                      return;
-                    it->second.is_in_flight = false;
-                    if (is_answered)
-                      m_earlier_starts.erase(it);
-                  });
-  }
-}
-
 void WorkflowRunner::OnDeparture(std::string_view id) {
   if (!m_worker || m_worker->life.id != id)
     return;
@@ -158,7 +117,7 @@
                         .With("runs", static_cast<int64_t>(m_runs.size())));
   m_has_left = true;
   m_runs.clear();
-  m_earlier_starts.clear();
+  m_unanswered.OnDeparture();
   m_is_report_urgent = true;
 }
 
@@ -191,7 +150,7 @@
   m_events.OnStored(orders.stored_sequence);
   if (m_events.last_end() == m_events.stored_end())
     m_next_look = std::min(m_next_look, now);
-  m_fillers.SetSlopes(orders.slopes);
+  m_pacer.SetSlopes(orders.slopes);
   if (!m_worker || !(orders.life == m_worker->life))
     return;
   m_needs_full |= orders.needs_full;
@@ -299,13 +258,11 @@
       local.progress_at = now;
       m_confirmed.push_back({task, run});
       m_is_report_urgent = true;
+      m_pacer.Send(m_term);
       return;
     case StartVerdict::kUnknown:
       m_counters.Add("agent_unanswered_starts");
-      std::erase_if(m_unanswered_starts, [now](const UnansweredStart& start) {
-        return now >= start.until;
-      });
-      m_unanswered_starts.push_back({task, run, now + kLateOrderLimit});
+      m_unanswered.Add(task, run, now);
       local.stage = RunStage::kDoubtful;
       local.since = now;
       return;
@@ -326,11 +283,8 @@
   // An earlier agent process may have sent a copy that got no answer. A stop
   // that is answered keeps it from ever starting.
   const bool may_have_copy =
-      now - m_started_at < kLateOrderLimit ||
-      std::any_of(m_unanswered_starts.begin(), m_unanswered_starts.end(),
-                  [&](const UnansweredStart& start) {
-                    return start.task == task && now < start.until;
-                  });
+      now - m_started_at < UnansweredStarts::kLateOrderLimit ||
+      m_unanswered.MayArrive(task, now);
   if (may_have_copy)
     StopRun(task);
   else
@@ -398,7 +352,7 @@
   if (!m_is_looking && now >= m_next_look && NeedsLook())
     Look();
   CheckLapse();
-  StopEarlierStarts();
+  m_unanswered.StopEarlier(m_term);
   if (IsReportDue())
     SendReport();
 }
@@ -468,8 +422,8 @@
   // until control has stored the ends.
   if (m_events.last_end() > m_events.stored_end())
     m_next_look = now + kUnstoredPause;
-  UpdatePaces(*answer);
-  SendPaces();
+  m_pacer.OnLook(*answer);
+  m_pacer.Send(m_term);
   if (m_is_report_urgent && IsReportDue())
     SendReport();
 }
@@ -504,7 +458,7 @@
       m_confirmed.push_back({row.task, row.run});
       m_is_report_urgent = true;
     }
-    FollowProgress(local, row);
+    NoteProgress(local, row.percent, now);
   }
   SettleUnlisted(listed, sent_at);
 }
@@ -533,91 +487,6 @@
   }
 }
 
-void WorkflowRunner::FollowProgress(LocalRun& local, const RunRow& row) {
-  const bool is_judged =
-      local.pace_percent >= kLowestJudgedPace || !local.order.is_filler;
-  if (row.percent == local.progress_percent && is_judged)
-    return;
-  local.progress_percent = row.percent;
-  local.progress_at = m_clock.Now();
-}
-
-void WorkflowRunner::UpdatePaces(const LookAnswer& answer) {
-  std::vector<ServingFigure> serving;
-  std::vector<FillerUse> uses;
-  for (const RunRow& row : answer.running) {
-    const auto it = m_runs.find(row.task);
-    if (it == m_runs.end())
-      continue;
-    const StartOrder& order = it->second.order;
-    if (order.is_filler) {
-      uses.push_back({order.image, row.figure});
-    } else if (order.latency_target > Millis(0) && row.figure >= 0 &&
-               row.percent >= kAtWorkPercent) {
-      serving.push_back(
-          {order.image, row.figure * 100 / order.latency_target.count()});
-    }
-  }
-  m_has_figures = !serving.empty();
-  m_fillers.Update(serving, uses, m_clock.Now());
-}
-
-void WorkflowRunner::SendPaces() {
-  const Millis now = m_clock.Now();
-  const bool is_repeat =
-      now < m_repeat_paces_until && now >= m_next_pace_repeat;
-  if (is_repeat)
-    m_next_pace_repeat = now + kPaceRepeat;
-  for (auto& [task, local] : m_runs) {
-    const int64_t percent = m_fillers.PercentOf(local.order.image);
-    const bool is_due = local.pace_percent != percent || is_repeat;
-    if (!local.order.is_filler || local.stage != RunStage::kRunning ||
-        local.is_pace_in_flight || !is_due) {
-      continue;
-    }
-    local.is_pace_in_flight = true;
-    m_decisions.Write(DecisionLine("filler_pace")
-                          .With("task", ToString(task))
-                          .With("from", local.pace_percent)
-                          .With("to", percent));
-    m_client.SetPace(task, local.run, percent, m_term,
-                     [this, name = task, run = local.run, percent,
-                      life = m_life_number](bool is_answered) {
-                       if (!is_answered)
-                         m_repeat_paces_until = m_clock.Now() + kLateOrderLimit;
-                       const auto it = m_runs.find(name);
-                       if (life != m_life_number || it == m_runs.end() ||
-                           it->second.run != run) {
-                         return;
-                       }
-                       it->second.is_pace_in_flight = false;
-                       it->second.pace_percent = is_answered ? percent : -1;
-                       it->second.progress_at = m_clock.Now();
-                     });
-  }
-}
-
-std::vector<RunStall> WorkflowRunner::FindStalls() const {
-  const Millis now = m_clock.Now();
-  std::vector<RunStall> stalls;
-  if (!IsWorkerReachable())
-    return stalls;
-  for (const auto& [task, local] : m_runs) {
-    const StartOrder& order = local.order;
-    const bool is_judged = local.stage == RunStage::kRunning &&
-                           local.is_described && !order.is_lasting &&
-                           !order.is_filler;
-    if (!is_judged)
-      continue;
-    const Millis limit =
-        std::max(kStallAfter, order.estimate * kStallPercentOfEstimate / 100);
-    const Millis quiet = now - local.progress_at;
-    if (quiet >= limit)
-      stalls.push_back({task, local.run, quiet});
-  }
-  return stalls;
-}
-
 bool WorkflowRunner::IsWorkerReachable() const {
   return m_clock.Now() - m_heard_at < kReachableFor;
 }
@@ -645,7 +514,7 @@
 }
 
 bool WorkflowRunner::IsReportDue() const {
-  if (!m_earlier_starts.empty())
+  if (m_unanswered.HasEarlier())
     return false;
   const Millis age = m_clock.Now() - m_last_report;
   if (!m_contact.IsHeard(m_clock.Now()))
@@ -700,14 +569,9 @@
   }
   m_sent_sequence = m_events.last_sequence();
   report.stored_sequence = m_events.stored_sequence();
-  report.stalls = FindStalls();
-  if (m_has_figures && now - m_figures_sent >= kFigureInterval) {
-    m_figures_sent = now;
-    m_has_figures = false;
-    report.has_figures = true;
-    report.serving = m_fillers.serving();
-    report.fillers = m_fillers.Figures();
-  }
+  if (IsWorkerReachable())
+    report.stalls = FindStalledRuns(m_runs, now);
+  m_pacer.AddFigures(report);
   return report;
 }
 
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -8,9 +8,10 @@
 #include <string>
 #include <vector>
 
-#include "source/agent/filler_control.h"
+#include "source/agent/filler_pacer.h"
 #include "source/agent/run_client.h"
 #include "source/agent/run_table.h"
+#include "source/agent/unanswered_starts.h"
 #include "source/agent/worker_lease.h"
 #include "source/base/clock.h"
 #include "source/base/decision_log.h"
@@ -77,11 +78,7 @@
   const Counters& counters() const override { return m_counters; }
 
  private:
-  using Runs = std::map<TaskName, LocalRun>;
-
   void AdoptLife(const WorkerAnnouncement& announcement);
-  /// Makes sure that no start meant for an earlier life begins in this one.
-  void StopEarlierStarts();
   void OnOrders(const NodeId& from, const WorkerOrders& orders);
   void OnStartOrder(const StartOrder& order);
   void OnStopOrder(const RunListing& order);
@@ -106,10 +103,6 @@
   void FollowEnds(const LookAnswer& answer);
   void FollowRows(const LookAnswer& answer, Millis sent_at);
   void SettleUnlisted(const std::set<TaskName>& listed, Millis sent_at);
-  void FollowProgress(LocalRun& local, const RunRow& row);
-  void UpdatePaces(const LookAnswer& answer);
-  void SendPaces();
-  std::vector<RunStall> FindStalls() const;
 
   bool IsWorkerReachable() const;
   bool HasLapsed() const;
@@ -136,25 +129,12 @@
   const Millis m_started_at;
   WorkerLease m_lease;
   Millis m_heard_at;
-  Runs m_runs;
+  LocalRuns m_runs;
   RunEventQueue m_events;
 
-  // Starts that may still be carried out, or were carried out by a new life
-  // before it announced itself. Control hears of the life only when all of them
-  // are stopped there.
-  struct EarlierStart {
-    RunNumber run = 0;
-    bool is_in_flight = false;
-  };
-  std::map<TaskName, EarlierStart> m_earlier_starts;
-  // Starts without an answer, with the time until which they may be carried
-  // out.
-  struct UnansweredStart {
-    TaskName task;
-    RunNumber run = 0;
-    Millis until;
-  };
-  std::vector<UnansweredStart> m_unanswered_starts;
+  // Control hears of a new life only when no start meant for an earlier one can
+  // begin in it.
+  UnansweredStarts m_unanswered;
 
   // Calls carry the number of the life they were made in, so that late answers
   // of an earlier life are dropped.
@@ -163,12 +143,7 @@
   bool m_has_looked = false;
   bool m_is_last_look_answered = true;
   Millis m_next_look;
-  FillerControl m_fillers;
-  bool m_has_figures = false;
-  Millis m_figures_sent;
-  // Pace orders without an answer may still be carried out until then.
-  Millis m_repeat_paces_until;
-  Millis m_next_pace_repeat;
+  FillerPacer m_pacer;
 
   Term m_term = 0;
   bool m_needs_full = true;
