Agent: Blame fewer fillers, and let them recover faster

Fillers answer for a latency if they cause 80% of the largest contribution to it instead of 50%, and speed up by 34 points instead of 20.

--- a/source/agent/filler_control.cc
+++ b/source/agent/filler_control.cc
@@ -14,7 +14,7 @@
 
 /// Fillers that cause at least this part of the largest contribution to a
 /// latency answer for it from the start, in percent.
-constexpr double kCulpritPercent = 50;
+constexpr double kCulpritPercent = 80;
 
 constexpr int64_t kTargetPercent = 100;
 /// A latency that has been over its target for this long is not explained by
--- a/source/agent/filler_pace.cc
+++ b/source/agent/filler_pace.cc
@@ -15,7 +15,7 @@
 constexpr int64_t kStopPercent = 180;
 /// Share that is left after a decrease, in percent of the share before.
 constexpr int64_t kDecreasePercent = 60;
-constexpr int64_t kStepUpPercent = 20;
+constexpr int64_t kStepUpPercent = 34;
 constexpr Millis kDecreaseInterval{500};
 constexpr Millis kIncreaseInterval{400};
 /// Pause before the first increase after a decrease.
