--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 TEST_ARGS ?=
 FILTER ?=
 
-.PHONY: build test bench capacity demo fuzz
+.PHONY: build test bench capacity demo fuzz soak
 
 build:
 	@bash .ci/install-packages
@@ -33,3 +33,8 @@
 
 demo: build
 	@bash tests/process/demo.sh $(BUILD_DIR)
+
+# Random faults against the real programs, with fresh seeds; see soak/README.md.
+SOAK_ARGS ?= --runs 10 --seconds 15
+soak: build
+	@python3 soak/soak.py --build $(BUILD_DIR) $(SOAK_ARGS)
