--- a/source/control/control_operators.cc
+++ b/source/control/control_operators.cc
@@ -53,11 +53,12 @@
 
 void ControlRole::SetDirectory(QueueDirectory directory, Done<bool> done) {
   if (!IsAccepting(done)) {
-    m_workflows.LogUnservedDirectory(directory.version, m_log->Leader());
+    m_workflows.callers().LogUnservedDirectory(directory.version,
+                                               m_log->Leader());
     return;
   }
   m_next_bytes += directory.document.size() * 2;
-  m_workflows.SetDirectory(
+  m_workflows.callers().SetDirectory(
       std::move(directory), m_next.workflow,
       [done = std::move(done)](const Result<void>& result) {
         if (result)
--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -92,9 +92,9 @@
                                     const Message& message) {
   if (const auto* call = std::get_if<WorkflowCall>(&message)) {
     if (IsLeading() && !m_is_stopping)
-      m_workflows.OnCall(from, *call, m_next.workflow);
+      m_workflows.callers().OnCall(from, *call, m_next.workflow);
     else
-      m_workflows.RedirectCall(from, *call);
+      m_workflows.callers().RedirectCall(from, *call);
     return true;
   }
   if (const auto* report = std::get_if<WorkerReport>(&message)) {
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -30,9 +30,6 @@
 /// How often the leader logs how much work waits and runs.
 constexpr Millis kLoadLineInterval{1'000};
 
-/// When a caller that was refused may come again.
-constexpr Millis kRetryAfter{1'000};
-
 }  // namespace
 
 WorkflowService::WorkflowService(const WorkflowState& state,
@@ -41,8 +38,8 @@
                                  Counters& counters)
     : m_state(state),
       m_transport(transport),
-      m_random(random),
       m_counters(counters),
+      m_callers(state, transport, random, counters),
       m_scheduler(state, m_order, m_placement),
       m_leases(m_options.lease) {}
 
@@ -50,12 +47,13 @@
                                 DecisionLog& log) {
   m_options = options;
   m_decisions = &log;
+  m_callers.Configure(log);
   m_leases.SetTerm(options.lease);
 }
 
 void WorkflowService::OnLeadershipGained(Millis now) {
   m_links.clear();
-  m_callers.clear();
+  m_callers.OnLeadershipGained();
   m_is_planning = false;
   m_is_dirty = true;
   m_next_plan = now;
@@ -74,120 +72,12 @@
 }
 
 void WorkflowService::OnLeadershipLost() {
-  m_decisions->Write(
-      DecisionLine("leadership_lost")
-          .With("open_calls", static_cast<int64_t>(m_callers.size())));
-  for (auto& [token, caller] : m_callers) {
-    if (caller.done) {
-      caller.done(MakeError(ErrorKind::kUnavailable,
-                            "the leader changed before the change was known "
-                            "to be committed",
-                            "send the same change again"));
-      continue;
-    }
-    WorkflowReply reply;
-    reply.call = caller.call;
-    reply.kind = WorkflowReplyKind::kUnknownResult;
-    Reply(caller.entry, std::move(reply));
-  }
-  m_callers.clear();
+  m_callers.OnLeadershipLost();
   m_links.clear();
 }
 
-void WorkflowService::OnCall(const NodeId& from,
-                             const WorkflowCall& call,
-                             WorkflowBatch& next) {
-  WorkflowReply reply;
-  reply.call = call.call;
-  if (m_state.directory().version == 0) {
-    reply.kind = WorkflowReplyKind::kNoDirectory;
-    reply.retry_after = kRetryAfter;
-    Reply(from, std::move(reply));
-    return;
-  }
-  const QueueSettings* queue = m_state.FindQueue(call.host, call.path);
-  if (!queue) {
-    reply.kind = WorkflowReplyKind::kNoQueue;
-    m_decisions->Write(
-        DecisionLine("call_refused")
-            .With("workflow", KeyText(call.key))
-            .With("reason", "no_queue")
-            .With("directory_version",
-                  static_cast<int64_t>(m_state.directory().version)));
-    Reply(from, std::move(reply));
-    return;
-  }
-  switch (call.kind) {
-    case WorkflowCallKind::kShow:
-      Show(from, call);
-      return;
-    case WorkflowCallKind::kCountPending:
-      reply.kind = WorkflowReplyKind::kCounted;
-      reply.pending = m_state.CountPending(*queue);
-      Reply(from, std::move(reply));
-      return;
-    case WorkflowCallKind::kCancel:
-      next.cancellations.push_back(
-          {AddCaller({from, call.call, call.key, {}}), call.key});
-      return;
-    case WorkflowCallKind::kSubmit:
-      break;
-  }
-  if (Result<void> valid = ValidateWorkflow(call.spec); !valid) {
-    m_counters.Add("control_invalid_workflows");
-    m_decisions->Write(DecisionLine("call_refused")
-                           .With("workflow", KeyText(call.key))
-                           .With("reason", valid.error().message));
-    reply.kind = WorkflowReplyKind::kInvalid;
-    Reply(from, std::move(reply));
-    return;
-  }
-  const uint64_t token = AddCaller({from, call.call, call.key, {}});
-  next.submissions.push_back({token, call.host, call.path, call.spec});
-}
-
-void WorkflowService::Show(const NodeId& from, const WorkflowCall& call) {
-  WorkflowReply reply;
-  reply.call = call.call;
-  const WorkflowRecord* workflow = m_state.Find(call.key);
-  // A cancellation that came before its submission leaves no steps.
-  const bool is_known = workflow && !workflow->spec.steps.empty();
-  reply.kind =
-      is_known ? WorkflowReplyKind::kShown : WorkflowReplyKind::kNoWorkflow;
-  if (is_known)
-    reply.phase = workflow->phase;
-  Reply(from, std::move(reply));
-}
-
-uint64_t WorkflowService::AddCaller(Caller caller) {
-  const uint64_t token = m_random.Next();
-  m_callers.emplace(token, std::move(caller));
-  return token;
-}
-
-void WorkflowService::Reply(const NodeId& entry, WorkflowReply reply) {
-  reply.leader = m_log->Leader();
-  m_transport.Send(entry, reply);
-}
-
-void WorkflowService::RedirectCall(const NodeId& from,
-                                   const WorkflowCall& call) {
-  WorkflowReply reply;
-  reply.call = call.call;
-  reply.kind = WorkflowReplyKind::kNotLeader;
-  reply.members = MemberNodes();
-  Reply(from, std::move(reply));
-}
-
 void WorkflowService::RedirectReport(const NodeId& from) {
-  m_transport.Send(from, GroupView{m_log->Leader(), MemberNodes()});
-}
-
-std::vector<NodeId> WorkflowService::MemberNodes() const {
-  std::vector<NodeId> nodes;
-  for (const Member& member : m_log->Members())
-    nodes.push_back(member.node);
-  return nodes;
+  m_transport.Send(from, GroupView{m_log->Leader(), MemberNodesOf(*m_log)});
 }
 
 void WorkflowService::OnReport(const NodeId& from,
@@ -296,36 +186,6 @@
   }
 }
 
-void WorkflowService::SetDirectory(QueueDirectory directory,
-                                   WorkflowBatch& next,
-                                   DirectoryDone done) {
-  if (Result<void> valid = ValidateDirectory(directory); !valid) {
-    m_counters.Add("control_invalid_directories");
-    m_decisions->Write(
-        DecisionLine("directory_refused")
-            .With("version", static_cast<int64_t>(directory.version))
-            .With("reason", valid.error().message));
-    done(valid);
-    return;
-  }
-  m_decisions->Write(
-      DecisionLine("directory_received")
-          .With("version", static_cast<int64_t>(directory.version))
-          .With("version_in_force",
-                static_cast<int64_t>(m_state.directory().version)));
-  Caller caller;
-  caller.done = std::move(done);
-  next.configurations.push_back(
-      {AddCaller(std::move(caller)), std::move(directory)});
-}
-
-void WorkflowService::LogUnservedDirectory(uint64_t version,
-                                           const NodeId& leader) {
-  m_decisions->Write(DecisionLine("directory_unserved")
-                         .With("version", static_cast<int64_t>(version))
-                         .With("leader", leader.empty() ? "unknown" : leader));
-}
-
 void WorkflowService::OnTick(const PlanningTime& time, WorkflowBatch& next) {
   ReleaseExpired(time, next);
   Plan(time, next);
@@ -468,7 +328,7 @@
   for (const StoredEvents& stored : effects.stored)
     LinkOf(stored.agent).OnStored(stored);
   for (const WorkflowAnswer& answer : effects.answers)
-    Answer(answer);
+    m_callers.Answer(answer);
   for (const StoredEvents& stored : effects.stored)
     SendOrders(LinkOf(stored.agent), true, now);
   SendDueOrders(now);
@@ -538,32 +398,6 @@
   }
 }
 
-void WorkflowService::Answer(const WorkflowAnswer& answer) {
-  const auto it = m_callers.find(answer.token);
-  if (it == m_callers.end())
-    return;
-  const Caller caller = std::move(it->second);
-  m_callers.erase(it);
-  if (caller.done) {
-    m_decisions->Write(
-        DecisionLine("directory_committed")
-            .With("version_in_force",
-                  static_cast<int64_t>(m_state.directory().version)));
-    caller.done({});
-    return;
-  }
-  m_decisions->Write(DecisionLine("call_committed")
-                         .With("workflow", KeyText(caller.key))
-                         .With("entry", caller.entry)
-                         .With("outcome", static_cast<int64_t>(answer.kind)));
-  WorkflowReply reply;
-  reply.call = caller.call;
-  reply.kind = answer.kind;
-  if (reply.kind == WorkflowReplyKind::kRefused)
-    reply.retry_after = kRetryAfter;
-  Reply(caller.entry, std::move(reply));
-}
-
 void WorkflowService::SendDueOrders(Millis now) {
   for (auto& [agent, link] : m_links) {
     const bool is_due = link.worker() != kNoWorkerNumber &&
@@ -580,7 +414,7 @@
     return;
   WorkerOrders orders = link.TakeOrders(
       m_log->CurrentTerm(), may_extend ? m_options.lease : Millis(0), now);
-  orders.members = MemberNodes();
+  orders.members = MemberNodesOf(*m_log);
   m_transport.Send(link.agent(), orders);
 }
 
--- a/source/control/workflow_service.h
+++ b/source/control/workflow_service.h
@@ -1,10 +1,8 @@
 #ifndef SOURCE_CONTROL_WORKFLOW_SERVICE_H_
 #define SOURCE_CONTROL_WORKFLOW_SERVICE_H_
 
-#include <functional>
 #include <map>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "source/base/counters.h"
@@ -13,6 +11,7 @@
 #include "source/base/random_source.h"
 #include "source/consensus/replicated_log.h"
 #include "source/control/worker_link.h"
+#include "source/control/workflow_callers.h"
 #include "source/message/transport.h"
 #include "source/workflow/worker_leases.h"
 #include "source/workflow/workflow_scheduler.h"
@@ -30,8 +29,6 @@
 /// plans runs, and tells agents and entries what was committed.
 class WorkflowService {
  public:
-  using DirectoryDone = std::function<void(const Result<void>&)>;
-
   /// The references outlive the service.
   WorkflowService(const WorkflowState& state,
                   Transport& transport,
@@ -40,54 +37,34 @@
 
   /// Replaces the default options and the log that drops everything.
   void Configure(const WorkflowOptions& options, DecisionLog& log);
-  void AttachLog(const ReplicatedLog& log) { m_log = &log; }
+  void AttachLog(const ReplicatedLog& log) {
+    m_log = &log;
+    m_callers.AttachLog(log);
+  }
+
+  /// Those who call this member.
+  WorkflowCallers& callers() { return m_callers; }
 
   void OnLeadershipGained(Millis now);
   void OnLeadershipLost();
 
-  /// Takes a caller's call; answered now or when it is committed.
-  void OnCall(const NodeId& from,
-              const WorkflowCall& call,
-              WorkflowBatch& next);
-
   void OnReport(const NodeId& from,
                 const WorkerReport& report,
                 WorkflowBatch& next,
                 Millis now);
 
-  /// Sets the queues and services. `done` hears of the commit, or why not.
-  void SetDirectory(QueueDirectory directory,
-                    WorkflowBatch& next,
-                    DirectoryDone done);
-
-  /// Notes that a change was not taken, because `leader` has to be asked, or
-  /// because no leader is known.
-  void LogUnservedDirectory(uint64_t version, const NodeId& leader);
-
   /// Releases what expired and plans runs.
   void OnTick(const PlanningTime& time, WorkflowBatch& next);
 
   void OnEffects(const WorkflowEffects& effects, Millis now);
 
   /// Answers that this member does not lead.
-  void RedirectCall(const NodeId& from, const WorkflowCall& call);
   void RedirectReport(const NodeId& from);
 
   /// Returns the leader's view as JSON, for a person.
   std::string DumpState(Millis now) const;
 
  private:
-  struct Caller {
-    NodeId entry;
-    uint64_t call = 0;
-    WorkflowKey key = 0;
-    DirectoryDone done;
-  };
-
-  void Reply(const NodeId& entry, WorkflowReply reply);
-  void Show(const NodeId& from, const WorkflowCall& call);
-  uint64_t AddCaller(Caller caller);
-  void Answer(const WorkflowAnswer& answer);
   void OnRegistered(WorkerNumber worker);
   void OnReleased(WorkerNumber worker);
   void FollowRun(const RunChange& change);
@@ -114,16 +91,15 @@
   void SendDueOrders(Millis now);
   WorkerLink& LinkOf(const NodeId& agent);
   WorkerLink* FindLink(WorkerNumber worker);
-  std::vector<NodeId> MemberNodes() const;
 
   const WorkflowState& m_state;
   Transport& m_transport;
-  RandomSource& m_random;
   Counters& m_counters;
   WorkflowOptions m_options;
   NullDecisionLog m_no_log;
   DecisionLog* m_decisions = &m_no_log;
   const ReplicatedLog* m_log = nullptr;
+  WorkflowCallers m_callers;
 
   ObjectiveOrder m_order;
   ExponentialPressureModel m_pressure;
@@ -134,7 +110,6 @@
   WorkflowScheduler m_scheduler;
   WorkerLeases m_leases;
   std::map<NodeId, WorkerLink> m_links;
-  std::unordered_map<uint64_t, Caller> m_callers;
   // Whether planned runs are on the way into the log.
   bool m_is_planning = false;
   // Whether something changed since the last plan.
--- a/tests/workflow/workflow_cluster_test.cc
+++ b/tests/workflow/workflow_cluster_test.cc
@@ -161,7 +161,7 @@
   cluster.Submit(MakeChain(7, {8}));
   cluster.Run(Millis(12'000));
   CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
-  CHECK(cluster.FindViolation() == "");
+  CHECK(cluster.FindViolation().empty());
 }
 
 TEST_CASE(
@@ -190,7 +190,7 @@
     INFO(ToString(task));
     CHECK(count == 1);
   }
-  CHECK(cluster.FindViolation() == "");
+  CHECK(cluster.FindViolation().empty());
 }
 
 TEST_CASE("A start of an earlier agent process begins in no new life") {
@@ -212,7 +212,7 @@
   cluster.StartAgent(0);
   cluster.Run(Millis(10'000));
   CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
-  CHECK(cluster.FindViolation() == "");
+  CHECK(cluster.FindViolation().empty());
 }
 
 TEST_CASE("Tasks of a worker that fell silent run elsewhere after its lease") {
