--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -40,7 +40,7 @@
         self.seeds = seeds
         self.process = None
         self.is_wanted = True
-        self.is_busy = False
+        self.is_closed = False
         self.starts = 0
         self.proxy = Proxy(f"{self.ip}:{ports.peer}",
                            f"{self.own_ip}:{ports.peer}")
@@ -72,7 +72,7 @@
 
     async def run(self):
         """Keeps the daemon running, as a platform would."""
-        while True:
+        while not self.is_closed:
             if not self.is_wanted:
                 await asyncio.sleep(0.05)
                 continue
@@ -136,12 +136,13 @@
         for task in self.tasks:
             task.cancel()
         for node in self.nodes:
+            node.is_closed = True
             node.signal(signal.SIGCONT)
             node.signal(signal.SIGKILL)
         for listener in [node.proxy for node in self.nodes] + self.links:
             listener.server.close()
         for executor in self.executors:
-            executor.server.close()
+            executor.close()
         await asyncio.sleep(0.1)
 
     # Faults. Each undoes itself and returns when it is over.
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -50,7 +50,10 @@
                                self.oracle, random.Random(args.seed + 1))
         self.accepted = {}
         self.version = 0
+        # Whether clients and faults are over, and whether the whole run is. A
+        # cancelled task may miss its cancellation, so that loops ask.
         self.is_over = False
+        self.is_finished = False
         self.wipe_lock = asyncio.Lock()
 
     def log(self, text):
@@ -135,7 +138,7 @@
             await asyncio.sleep(rng.uniform(0.1, 0.5))
 
     async def observe(self):
-        while True:
+        while not self.is_finished:
             await asyncio.sleep(0.2)
             jobs = [j for j, s in self.accepted.items()
                     if s not in ("completed", "failed", "cancelled")]
@@ -228,6 +231,7 @@
         try:
             await self.play()
         finally:
+            self.is_finished = True
             await self.cluster.stop()
             self.log_file.close()
         print(f"seed {self.args.seed}: {self.oracle.summary()}", flush=True)
