Storage: Accept a lost marker before an unacknowledged frame

Cause: after a loss of power, a control member refused its own log as damaged and exited again and again. A commit writes its frame, syncs it and then writes a marker without a sync; the marker shares the next sync with the next frame. A loss of power before that sync may keep the frame and lose the marker. Recovery took the valid frame behind the damaged marker as proof that acknowledged records were damaged. Change: a damaged marker with one whole frame after it, and no frame behind that one, is the unsynced pair. The frame is kept and the segment is rewritten with the marker. Frames move to a module of their own.

--- a/source/storage/log_file.cc
+++ b/source/storage/log_file.cc
@@ -7,31 +7,14 @@
 #include <utility>
 #include <vector>
 
-#include "source/base/checksum.h"
+#include "source/storage/log_frame.h"
 
 namespace fulmarrock {
 namespace {
 
-constexpr uint32_t kMagic = 0x474F4C46;  // "FLOG" in little-endian order.
 constexpr std::string_view kPrefix = "log-";
 constexpr std::string_view kNewName = "segment.new";
 
-constexpr uint32_t kRecords = 0;
-constexpr uint32_t kReset = 1;
-constexpr uint32_t kMarker = 2;
-
-/// Header of a frame, in little-endian order.
-struct FrameHeader {
-  uint32_t magic;
-  uint32_t kind;
-  uint64_t first_index;
-  uint32_t count;
-  uint32_t length;
-  uint64_t payload_checksum;
-  uint64_t header_checksum;
-};
-static_assert(sizeof(FrameHeader) == 40);
-
 std::string SegmentName(uint64_t number) {
   char name[32];
   std::snprintf(name, sizeof(name), "%s%016llx", kPrefix.data(),
@@ -39,48 +22,14 @@
   return name;
 }
 
-/// Checksums depend on the position of a frame, so that bytes of a record that
-/// resemble a frame are not taken for one.
-uint64_t FrameChecksumSeed(uint64_t segment, uint64_t offset) {
-  return (segment << 40) ^ offset;
-}
-
-uint64_t HeaderChecksum(const FrameHeader& header, uint64_t seed) {
-  return Checksum({reinterpret_cast<const char*>(&header),
-                   offsetof(FrameHeader, header_checksum)},
-                  seed);
-}
-
-/// Returns the header of the frame at an offset; no value if it is damaged.
-std::optional<FrameHeader> ReadFrame(std::string_view bytes,
-                                     uint64_t segment,
-                                     uint64_t offset) {
-  FrameHeader header;
-  if (bytes.size() - offset < sizeof(header))
-    return std::nullopt;
-  std::memcpy(&header, bytes.data() + offset, sizeof(header));
-  const uint64_t seed = FrameChecksumSeed(segment, offset);
-  if (header.magic != kMagic || header.kind > kMarker ||
-      header.header_checksum != HeaderChecksum(header, seed) ||
-      header.length > bytes.size() - offset - sizeof(header))
-    return std::nullopt;
-  if (Checksum(bytes.substr(offset + sizeof(header), header.length), seed) !=
-      header.payload_checksum)
-    return std::nullopt;
-  return header;
-}
-
-/// Whether any valid frame starts after the offset.
-bool HasFrameAfter(std::string_view bytes, uint64_t segment, uint64_t offset) {
-  char magic[sizeof(kMagic)];
-  std::memcpy(magic, &kMagic, sizeof(kMagic));
-  const std::string_view wanted(magic, sizeof(magic));
-  for (size_t at = bytes.find(wanted, offset + 1); at != std::string_view::npos;
-       at = bytes.find(wanted, at + 1)) {
-    if (ReadFrame(bytes, segment, at))
-      return true;
-  }
-  return false;
+/// Whether the damaged bytes at a position are an unsynced marker with the
+/// frame that was written after it and not synced either. The next frame is
+/// written only after a sync, which would have covered this marker.
+bool IsUnsyncedMarker(std::string_view bytes, FramePosition position) {
+  const FramePosition next{position.segment, position.offset + kMarkerBytes};
+  const std::optional<FrameHeader> frame = ReadFrame(bytes, next);
+  return frame && frame->kind == FrameKind::kRecords &&
+         !HasFrameAfter(bytes, next);
 }
 
 tl::unexpected<Error> CorruptionError(std::string message) {
@@ -189,50 +138,64 @@
   if (!bytes)
     return tl::make_unexpected(bytes.error());
   m_segments.push_back({.number = number});
-  uint64_t offset = 0;
-  uint64_t records_end = 0;
-  while (offset < bytes->size()) {
-    const std::optional<FrameHeader> header = ReadFrame(*bytes, number, offset);
-    if (!header)
-      break;
-    const std::string_view payload = std::string_view(*bytes).substr(
-        offset + sizeof(FrameHeader), header->length);
-    offset += sizeof(FrameHeader) + header->length;
-    if (header->kind != kMarker)
-      records_end = offset;
-    if (header->kind == kReset) {
-      TrackRecords(1, 0);
-      m_next_index = header->first_index;
-      visitor.OnReset(m_next_index);
-    } else if (header->kind == kRecords) {
-      if (Result<void> result =
-              VisitFrame(payload, header->first_index, header->count, visitor);
-          !result)
-        return result;
-    }
-  }
-  m_segments.back().bytes = records_end;
   m_file = std::move(*file);
-  if (offset < bytes->size() &&
-      (!is_last || HasFrameAfter(*bytes, number, offset)))
+  Result<SegmentTail> tail = VisitSegment(*bytes, is_last, visitor);
+  if (!tail)
+    return tl::make_unexpected(std::move(tail.error()));
+  const FramePosition end{number, tail->valid_end};
+  if (end.offset < bytes->size() && (!is_last || HasFrameAfter(*bytes, end)))
     return CorruptionError("log segment " + name + " is damaged at byte " +
-                           std::to_string(offset));
+                           std::to_string(end.offset));
+  m_segments.back().bytes = tail->records_end;
   if (!is_last || bytes->empty())
     return {};
-  return RepairTail(std::string_view(*bytes).substr(0, records_end),
-                    offset > records_end);
+  return RepairTail(*bytes, *tail);
 }
 
-Result<void> LogFile::RepairTail(std::string_view valid, bool has_marker) {
-  if (has_marker) {
+Result<LogFile::SegmentTail> LogFile::VisitSegment(std::string_view bytes,
+                                                   bool is_last,
+                                                   LogVisitor& visitor) {
+  SegmentTail tail;
+  FramePosition position{m_segments.back().number, 0};
+  while (position.offset < bytes.size()) {
+    const std::optional<FrameHeader> header = ReadFrame(bytes, position);
+    if (!header && is_last && IsUnsyncedMarker(bytes, position)) {
+      tail.lost_marker = position.offset;
+      position.offset += kMarkerBytes;
+      continue;
+    }
+    if (!header)
+      break;
+    const std::string_view payload =
+        bytes.substr(position.offset + sizeof(FrameHeader), header->length);
+    position.offset += sizeof(FrameHeader) + payload.size();
+    tail.valid_end = position.offset;
+    if (header->kind == FrameKind::kMarker)
+      continue;
+    tail.records_end = position.offset;
+    if (Result<void> result = VisitFrame(*header, payload, visitor); !result)
+      return tl::make_unexpected(std::move(result.error()));
+  }
+  return tail;
+}
+
+Result<void> LogFile::RepairTail(std::string_view bytes,
+                                 const SegmentTail& tail) {
+  const uint64_t number = m_segments.back().number;
+  if (tail.valid_end > tail.records_end) {
     // The marker is written again too, because its own sync may have failed.
-    if (Result<void> result = m_file->Truncate(valid.size()); !result)
+    if (Result<void> result = m_file->Truncate(tail.records_end); !result)
       return result;
-    return WriteFrame(kMarker, 0, 0, {});
+    return WriteFrame(FrameKind::kMarker, 0, 0, {});
   }
   // Without a marker the last frame may be unsynced, and syncing it now may
   // have no effect: after a failed sync the operating system may consider the
-  // bytes written. So the segment is rewritten.
+  // bytes written. So the segment is rewritten, with the marker that was lost
+  // before that frame.
+  std::string valid(bytes.substr(0, tail.records_end));
+  if (tail.lost_marker)
+    valid.replace(*tail.lost_marker, kMarkerBytes,
+                  EncodeMarker({number, *tail.lost_marker}));
   Result<std::unique_ptr<StorageFile>> file = m_storage.Create(kNewName);
   if (!file)
     return tl::make_unexpected(std::move(file.error()));
@@ -240,24 +203,30 @@
     return result;
   if (Result<void> result = (*file)->Sync(); !result)
     return result;
-  const std::string name = SegmentName(m_segments.back().number);
-  if (Result<void> result = m_storage.Rename(kNewName, name); !result)
+  if (Result<void> result = m_storage.Rename(kNewName, SegmentName(number));
+      !result)
     return result;
   if (Result<void> result = m_storage.SyncFolder(); !result)
     return result;
   m_file = std::move(*file);
-  return WriteFrame(kMarker, 0, 0, {});
+  return WriteFrame(FrameKind::kMarker, 0, 0, {});
 }
 
-Result<void> LogFile::VisitFrame(std::string_view payload,
-                                 uint64_t first_index,
-                                 uint32_t count,
+Result<void> LogFile::VisitFrame(const FrameHeader& header,
+                                 std::string_view payload,
                                  LogVisitor& visitor) {
+  const uint64_t first_index = header.first_index;
+  if (header.kind == FrameKind::kReset) {
+    TrackRecords(1, 0);
+    m_next_index = first_index;
+    visitor.OnReset(m_next_index);
+    return {};
+  }
   if (m_next_index != 0 && first_index > m_next_index)
     return CorruptionError("log continues at index " +
                            std::to_string(first_index) + " instead of " +
                            std::to_string(m_next_index));
-  for (uint32_t i = 0; i < count; ++i) {
+  for (uint32_t i = 0; i < header.count; ++i) {
     uint32_t length = 0;
     if (payload.size() < sizeof(length))
       return CorruptionError("log frame is shorter than its records");
@@ -271,7 +240,7 @@
       return result;
     payload.remove_prefix(length);
   }
-  TrackRecords(first_index, first_index + count - 1);
+  TrackRecords(first_index, first_index + header.count - 1);
   return {};
 }
 
@@ -293,22 +262,13 @@
   return {};
 }
 
-Result<void> LogFile::WriteFrame(uint32_t kind,
+Result<void> LogFile::WriteFrame(FrameKind kind,
                                  uint64_t first_index,
                                  uint32_t count,
                                  std::string_view payload) {
   Segment& segment = m_segments.back();
-  const uint64_t seed = FrameChecksumSeed(segment.number, segment.bytes);
-  FrameHeader header{};
-  header.magic = kMagic;
-  header.kind = kind;
-  header.first_index = first_index;
-  header.count = count;
-  header.length = static_cast<uint32_t>(payload.size());
-  header.payload_checksum = Checksum(payload, seed);
-  header.header_checksum = HeaderChecksum(header, seed);
-  std::string frame(reinterpret_cast<const char*>(&header), sizeof(header));
-  frame.append(payload);
+  const std::string frame = EncodeFrame({segment.number, segment.bytes}, kind,
+                                        first_index, count, payload);
   segment.bytes += frame.size();
   return m_file->Append(frame);
 }
@@ -319,26 +279,27 @@
         !result)
       return result;
   }
-  if (Result<void> result =
-          WriteFrame(kRecords, m_batch_first, m_batch_count, m_batch);
+  if (Result<void> result = WriteFrame(FrameKind::kRecords, m_batch_first,
+                                       m_batch_count, m_batch);
       !result)
     return result;
   if (Result<void> result = m_file->Sync(); !result)
     return result;
   TrackRecords(m_batch_first, m_batch_first + m_batch_count - 1);
-  return WriteFrame(kMarker, 0, 0, {});
+  return WriteFrame(FrameKind::kMarker, 0, 0, {});
 }
 
 Result<void> LogFile::WriteReset(uint64_t next_index) {
   if (Result<void> result = StartSegment(m_segments.back().number + 1); !result)
     return result;
-  if (Result<void> result = WriteFrame(kReset, next_index, 0, {}); !result)
+  if (Result<void> result = WriteFrame(FrameKind::kReset, next_index, 0, {});
+      !result)
     return result;
   if (Result<void> result = m_file->Sync(); !result)
     return result;
   TrackRecords(1, 0);
   m_next_index = next_index;
-  if (Result<void> result = WriteFrame(kMarker, 0, 0, {}); !result)
+  if (Result<void> result = WriteFrame(FrameKind::kMarker, 0, 0, {}); !result)
     return result;
   return RemoveBefore(UINT64_MAX);
 }
--- a/source/storage/log_file.h
+++ b/source/storage/log_file.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "source/base/error.h"
+#include "source/storage/log_frame.h"
 #include "source/storage/storage.h"
 
 namespace fulmarrock {
@@ -30,9 +31,11 @@
 /// with a checksum and share one sync.
 ///
 /// A frame is written only after the previous one was synced, and each sync is
-/// followed by an unsynced marker frame. A damaged frame with a valid frame
-/// after it was therefore acknowledged, and recovery fails. A damaged frame
-/// with none after it is a write torn by a crash; recovery truncates it.
+/// followed by an unsynced marker frame. So at most the last marker and one
+/// frame after it are unsynced, and a loss of power may leave any part of the
+/// two. Recovery keeps a whole frame whose marker is lost, and truncates a
+/// damaged frame with no valid frame after it. All other damage concerns
+/// acknowledged records, and recovery fails.
 class LogFile {
  public:
   /// Opens the log and passes its records to the visitor. Fails with
@@ -66,6 +69,15 @@
     uint64_t last_index = 0;
   };
 
+  /// Where the valid part of a segment ends.
+  struct SegmentTail {
+    // End of the last frame that is not a marker, and of the last frame.
+    uint64_t records_end = 0;
+    uint64_t valid_end = 0;
+    // Offset of a lost marker before the last frame.
+    std::optional<uint64_t> lost_marker;
+  };
+
   LogFile(Storage& storage, uint64_t segment_bytes)
       : m_storage(storage), m_segment_bytes(segment_bytes) {}
 
@@ -73,13 +85,15 @@
   Result<void> RecoverSegment(uint64_t number,
                               bool is_last,
                               LogVisitor& visitor);
-  Result<void> RepairTail(std::string_view valid, bool has_marker);
-  Result<void> VisitFrame(std::string_view payload,
-                          uint64_t first_index,
-                          uint32_t count,
+  Result<SegmentTail> VisitSegment(std::string_view bytes,
+                                   bool is_last,
+                                   LogVisitor& visitor);
+  Result<void> RepairTail(std::string_view bytes, const SegmentTail& tail);
+  Result<void> VisitFrame(const FrameHeader& header,
+                          std::string_view payload,
                           LogVisitor& visitor);
   Result<void> StartSegment(uint64_t number);
-  Result<void> WriteFrame(uint32_t kind,
+  Result<void> WriteFrame(FrameKind kind,
                           uint64_t first_index,
                           uint32_t count,
                           std::string_view payload);
--- a/tests/support/fake_storage.h
+++ b/tests/support/fake_storage.h
@@ -19,6 +19,9 @@
   kLoseUnsynced,  ///< The instance crashed: only synced bytes remain.
   kTearWrites,    ///< As kLoseUnsynced, but some of the unsynced bytes remain,
                   ///< and one of these may be damaged.
+  kMixWrites,     ///< The instance lost power: each unsynced write and each
+                  ///< unsynced change of the folder remains, is missing, or,
+                  ///< for a write, is torn, independently of the others.
 };
 
 /// In-memory folder with fault injection. It outlives the node that uses it.
@@ -49,6 +52,10 @@
 
   void CancelSyncFailure() { m_syncs_until_failure = 0; }
 
+  /// Makes every operation after `count` more changes fail until the next
+  /// crash, as if the instance lost power in the middle of a sequence.
+  void FailAfter(uint64_t count) { m_changes_until_failure = count + 1; }
+
   /// Limits the total bytes of all files; a write that exceeds the limit is
   /// incomplete.
   void SetCapacity(uint64_t bytes) { m_capacity = bytes; }
@@ -65,6 +72,13 @@
 
  private:
   class File;
+  /// One unsynced change of a file: bytes written at an offset, or the file
+  /// truncated to that size.
+  struct Write {
+    uint64_t offset = 0;
+    std::string bytes;
+    bool is_truncation = false;
+  };
   struct Content {
     std::string bytes;
     std::string durable;
@@ -73,6 +87,7 @@
     uint64_t lost_begin = 0;
     uint64_t lost_end = 0;
     bool is_truncated = false;
+    std::vector<Write> unsynced;
   };
   using Folder = std::map<std::string, std::shared_ptr<Content>, std::less<>>;
 
@@ -80,12 +95,17 @@
   Result<void> Sync(Content& content);
   // Counts a sync; returns whether it has to fail.
   bool CountSyncAndCheckFailure();
+  // Counts a change; fails when the limit of FailAfter() is reached.
+  Result<void> CountChange();
+  void MixFolder(RandomSource& random);
+  static void MixWrites(Content& content, RandomSource& random);
 
   Folder m_files;
   Folder m_durable_files;
   uint64_t m_identity = 0;
   uint64_t m_capacity = UINT64_MAX;
   uint64_t m_syncs_until_failure = 0;
+  uint64_t m_changes_until_failure = 0;
   uint64_t m_sync_count = 0;
   bool m_is_ignoring_syncs = false;
 };
