Control: Keep a member's process up when its data folder fails

Change: SupervisedMember opens the control member and opens it again after a failure of its storage, with a pause that grows from 250 ms to 5 s. While it is closed, /healthz responds 503, the state dump has error and remedy, a log line and the counter member_failures tell of it, and operators' changes fail as not leader, which is certainly not done. With damaged data it asks the known nodes for a leader (JoinRequest without an incarnation changes nothing). Only a leader that a quorum follows names itself; then the group lives without this member's data. The files are renamed, the identity first and durably, and the member joins under a new incarnation. It never bootstraps a group afterwards. Ruled out: setting the data aside at once. With a majority damaged, the data that an operator needs would be out of the way before anyone looked. Reopening after a failed sync in the same process is as safe as a restart of the process: both find the same page cache, and recovery rewrites the last segment.

--- /dev/null
+++ b/source/control/group_probe.cc
@@ -0,0 +1,40 @@
+#include "source/control/group_probe.h"
+
+#include <utility>
+
+#include "source/message/message.h"
+
+namespace fulmarrock {
+namespace {
+
+constexpr Millis kRequestInterval{500};
+
+}  // namespace
+
+GroupProbe::GroupProbe(NodeId self, const Clock& clock, Transport& transport)
+    : m_self(std::move(self)), m_clock(clock), m_transport(transport) {}
+
+void GroupProbe::AddNodes(const std::vector<NodeId>& nodes) {
+  for (const NodeId& node : nodes) {
+    if (node != m_self && !node.empty())
+      m_nodes.insert(node);
+  }
+}
+
+void GroupProbe::OnTick() {
+  const Millis now = m_clock.Now();
+  if (now < m_next_request)
+    return;
+  m_next_request = now + kRequestInterval;
+  for (const NodeId& node : m_nodes)
+    m_transport.Send(node, JoinRequest{});
+}
+
+void GroupProbe::OnGroupView(const NodeId& from, const GroupView& view) {
+  AddNodes(view.members);
+  AddNodes({view.leader});
+  if (view.leader == from)
+    m_leader = from;
+}
+
+}  // namespace fulmarrock
--- a/source/control/membership_manager.cc
+++ b/source/control/membership_manager.cc
@@ -53,12 +53,14 @@
   if (!request)
     return false;
   AddSeedNodes({from});
-  if (m_log.IsLeader()) {
+  if (m_log.IsLeader() && request->incarnation != 0) {
     OnJoinRequest(from, request->incarnation);
     return true;
   }
   GroupView view;
-  view.leader = m_log.Leader();
+  // A leader that lost its quorum must not be taken for one that has it.
+  if (m_log.IsLeader() || m_log.Leader() != m_self)
+    view.leader = m_log.Leader();
   for (const Member& member : m_log.Members())
     view.members.push_back(member.node);
   m_transport.Send(from, view);
--- a/source/daemon/control_host.cc
+++ b/source/daemon/control_host.cc
@@ -7,7 +7,7 @@
 #include "source/base/seeded_random.h"
 #include "source/base/steady_clock.h"
 #include "source/base/wall_clock.h"
-#include "source/control/control_member.h"
+#include "source/control/supervised_member.h"
 #include "source/storage/file_storage.h"
 
 namespace fulmarrock {
@@ -54,16 +54,14 @@
   SystemWallClock wall_clock;
   SeededRandom random = SeededRandom::FromSystemEntropy();
   std::unique_ptr<Storage> storage;
-  std::unique_ptr<ControlMember> member;
-  bool is_failure_reported = false;
+  std::unique_ptr<SupervisedMember> member;
 };
 
 ControlHost::ControlHost(EventLoop& loop,
                          const Settings& settings,
                          Transport& transport,
                          DecisionLog& decisions)
-    : m_loop(loop),
-      m_settings(settings),
+    : m_settings(settings),
       m_transport(loop, transport),
       m_decisions(decisions) {
   m_thread.RunAndWait(
@@ -88,27 +86,25 @@
   if (!storage)
     return tl::make_unexpected(storage.error());
   state->storage = std::move(*storage);
-  ConsensusOptions options;
-  options.node = m_settings.node;
-  options.initial_members = FindInitialMembers(m_settings);
-  options.heartbeat = m_settings.consensus.heartbeat;
-  options.election_timeout_min = m_settings.consensus.election_timeout_min;
-  options.election_timeout_max = m_settings.consensus.election_timeout_max;
-  Result<std::unique_ptr<ControlMember>> member = ControlMember::Open(
-      options, {state->clock, m_transport, state->random, *state->storage});
-  if (!member)
-    return tl::make_unexpected(member.error());
-  state->member = std::move(*member);
-  ControlRole& role = state->member->role();
-  WorkflowOptions workflow;
+  SupervisedMemberOptions options;
+  options.consensus.node = m_settings.node;
+  options.consensus.initial_members = FindInitialMembers(m_settings);
+  options.consensus.heartbeat = m_settings.consensus.heartbeat;
+  options.consensus.election_timeout_min =
+      m_settings.consensus.election_timeout_min;
+  options.consensus.election_timeout_max =
+      m_settings.consensus.election_timeout_max;
   if (m_settings.workflow)
-    workflow.lease = m_settings.workflow->lease;
-  role.ConfigureWorkflows(workflow, state->wall_clock, m_decisions);
-  if (m_settings.discovers_members) {
-    role.SetMembershipManager(std::make_unique<MembershipManager>(
-        m_settings.node, NodesOf(m_settings.control_members), state->clock,
-        m_transport, state->member->consensus(), m_decisions));
-  }
+    options.workflow.lease = m_settings.workflow->lease;
+  options.seed_nodes = NodesOf(m_settings.control_members);
+  options.discovers_members = m_settings.discovers_members;
+  state->member = std::make_unique<SupervisedMember>(
+      std::move(options), SupervisedMemberEnvironment{
+                              state->clock, m_transport, state->random,
+                              *state->storage, state->wall_clock, m_decisions});
+  if (Result<void> result = state->member->Start(); !result)
+    return result;
+  m_is_open = state->member->member() != nullptr;
   m_state = std::move(state);
   return {};
 }
@@ -131,17 +127,13 @@
     return;
   m_state->member->OnTick();
   m_is_drained = m_state->member->IsDrained();
-  const std::optional<Error>& failure = m_state->member->Failure();
-  if (!failure || m_state->is_failure_reported)
-    return;
-  m_state->is_failure_reported = true;
-  m_loop.Post([this, error = *failure] { ReportFailure(error); });
+  m_is_open = m_state->member->member() != nullptr;
 }
 
 void ControlHost::AddSeedNodes(const std::vector<NodeId>& nodes) {
   m_thread.loop().Post([this, nodes] {
-    if (m_state && m_state->member->role().membership_manager())
-      m_state->member->role().membership_manager()->AddSeedNodes(nodes);
+    if (m_state)
+      m_state->member->AddSeedNodes(nodes);
   });
 }
 
@@ -153,18 +145,29 @@
 }
 
 OperatorService& ControlHost::service() {
-  return m_state->member->role();
+  return m_state->member->service();
 }
 
 void ControlHost::AddDiagnostics(DiagnosticsFrontEnd& diagnostics) {
   EventLoop& loop = m_thread.loop();
   diagnostics.AddState("control", loop, [this] { return DumpState(); });
-  diagnostics.AddCounters("control", loop, m_state->member->counters());
-  diagnostics.AddCounters("consensus", loop,
-                          m_state->member->consensus().counters());
+  diagnostics.AddReadiness([this] { return IsOpen(); });
+  diagnostics.AddCounters("member", loop, m_state->member->counters());
+  diagnostics.AddCounters("control", loop, [this] {
+    const ControlMember* const member = OpenMember();
+    return member ? &member->counters() : nullptr;
+  });
+  diagnostics.AddCounters("consensus", loop, [this] {
+    ControlMember* const member = OpenMember();
+    return member ? &member->consensus().counters() : nullptr;
+  });
   diagnostics.AddCounters("control_loop", loop, loop.counters());
 }
 
+ControlMember* ControlHost::OpenMember() {
+  return m_state ? m_state->member->member() : nullptr;
+}
+
 std::string ControlHost::DumpState() const {
   return m_state ? m_state->member->DumpState() : "null";
 }
--- a/source/daemon/control_host.h
+++ b/source/daemon/control_host.h
@@ -9,6 +9,7 @@
 
 #include "source/base/decision_log.h"
 #include "source/config/settings.h"
+#include "source/control/control_member.h"
 #include "source/control/operator_service.h"
 #include "source/daemon/posting_transport.h"
 #include "source/net/component.h"
@@ -21,8 +22,7 @@
 /// own, so that syncing the log to disk does not delay requests.
 class ControlHost : public Component {
  public:
-  /// `loop` is the loop of the transport. A failure of the consensus member is
-  /// reported once, on that loop.
+  /// `loop` is the loop of the transport.
   ControlHost(EventLoop& loop,
               const Settings& settings,
               Transport& transport,
@@ -31,7 +31,8 @@
 
   std::string Name() const override { return "control"; }
 
-  /// Opens the data folder and recovers the state.
+  /// Opens the data folder and recovers the state. A member whose storage fails
+  /// then or later is opened again; see SupervisedMember.
   Result<void> Start() override;
   void Stop() override;
 
@@ -44,6 +45,9 @@
   void BeginShutdown();
   bool IsDrained() const { return m_is_drained; }
 
+  /// Whether the member can use its data folder.
+  bool IsOpen() const { return m_is_open; }
+
   /// Loop on which the service has to be called.
   EventLoop& service_loop() { return m_thread.loop(); }
 
@@ -56,14 +60,16 @@
   struct State;
 
   Result<void> Open();
+  /// Returns the member, or null while it is not open.
+  ControlMember* OpenMember();
   void OnTick();
   std::string DumpState() const;
 
-  EventLoop& m_loop;
   const Settings m_settings;
   PostingTransport m_transport;
   DecisionLog& m_decisions;
   std::atomic<bool> m_is_drained{false};
+  std::atomic<bool> m_is_open{false};
   std::unique_ptr<State> m_state;
   // Declared last, so that its thread ends before the state is destroyed.
   LoopThread m_thread;
--- a/source/daemon/daemon.cc
+++ b/source/daemon/daemon.cc
@@ -102,13 +102,6 @@
                                                  m_transport, m_decisions);
     m_control = control.get();
     m_supervisor.Add(std::move(control));
-    // A failed disk or a damaged log needs an operator: an automatic restart
-    // could treat unsynced bytes in the page cache as durable.
-    m_control->SetFailureHandler([this](const Error& error) {
-      LOG(ERROR) << "control failed: " << error.Describe();
-      m_exit_code = 1;
-      BeginGracefulShutdown("control failed");
-    });
   }
   m_supervisor.Add(std::make_unique<FunctionComponent>(
       "roles", [this] { return StartRoles(); }, [this] { StopRoles(); }));
--- a/source/message/workflow_messages.h
+++ b/source/message/workflow_messages.h
@@ -252,6 +252,7 @@
 
 /// Control member to its group: asks to become a member.
 struct JoinRequest {
+  /// Zero asks for a GroupView only; the membership does not change.
   Incarnation incarnation = 0;
 
   template <typename Self, typename Visitor>
--- a/source/net/diagnostics_front_end.cc
+++ b/source/net/diagnostics_front_end.cc
@@ -1,5 +1,6 @@
 #include "source/net/diagnostics_front_end.h"
 
+#include <algorithm>
 #include <map>
 #include <sstream>
 #include <utility>
@@ -52,9 +53,12 @@
   server.Route("GET", "/healthz",
                [this](const HttpRequest&, const Respond& responder) {
                  HttpResponse response;
-                 response.status = m_is_stopping ? 503 : 200;
-                 response.body = m_is_stopping ? R"({"state":"stopping"})"
-                                               : R"({"state":"running"})";
+                 response.status = m_is_stopping || !IsReady() ? 503 : 200;
+                 response.body = R"({"state":"running"})";
+                 if (!IsReady())
+                   response.body = R"({"state":"not ready"})";
+                 if (m_is_stopping)
+                   response.body = R"({"state":"stopping"})";
                  responder.Respond(std::move(response));
                });
 }
@@ -72,9 +76,18 @@
 void DiagnosticsFrontEnd::AddCounters(std::string part,
                                       EventLoop& loop,
                                       const Counters& counters) {
-  AddMetrics(loop, [part = std::move(part), &counters] {
+  AddCounters(std::move(part), loop, [&counters] { return &counters; });
+}
+
+void DiagnosticsFrontEnd::AddCounters(std::string part,
+                                      EventLoop& loop,
+                                      CountersFunction counters) {
+  AddMetrics(loop, [part = std::move(part), read = std::move(counters)] {
     std::string text;
-    for (const auto& [name, value] : counters.values()) {
+    const Counters* const current = read();
+    if (!current)
+      return text;
+    for (const auto& [name, value] : current->values()) {
       text += "fulmarrock_" + name + "{part=\"" + part + "\"} " +
               std::to_string(value) + "\n";
     }
@@ -82,6 +95,15 @@
   });
 }
 
+void DiagnosticsFrontEnd::AddReadiness(ReadyFunction is_ready) {
+  m_readiness.push_back(std::move(is_ready));
+}
+
+bool DiagnosticsFrontEnd::IsReady() const {
+  return std::all_of(m_readiness.begin(), m_readiness.end(),
+                     [](const ReadyFunction& is_ready) { return is_ready(); });
+}
+
 void DiagnosticsFrontEnd::CollectTexts(const std::vector<Part>& parts,
                                        Finish finish) {
   auto collection = std::make_shared<PendingCollection>();
--- a/source/net/diagnostics_front_end.h
+++ b/source/net/diagnostics_front_end.h
@@ -18,6 +18,8 @@
 class DiagnosticsFrontEnd {
  public:
   using TextFunction = std::function<std::string()>;
+  using CountersFunction = std::function<const Counters*()>;
+  using ReadyFunction = std::function<bool()>;
 
   /// `loop` is the loop of the server.
   DiagnosticsFrontEnd(EventLoop& loop, HttpServer& server);
@@ -31,6 +33,16 @@
   /// Adds counters, which appear as fulmarrock_NAME with the part as a label.
   void AddCounters(std::string part, EventLoop& loop, const Counters& counters);
 
+  /// The same for counters that do not always exist; `counters` runs on `loop`
+  /// and may return null.
+  void AddCounters(std::string part,
+                   EventLoop& loop,
+                   CountersFunction counters);
+
+  /// Makes GET /healthz respond 503 while `is_ready` returns false. It runs on
+  /// the loop of the server.
+  void AddReadiness(ReadyFunction is_ready);
+
   /// Makes GET /healthz respond 503, so that load balancers stop sending
   /// requests to this process.
   void SetStopping() { m_is_stopping = true; }
@@ -51,7 +63,10 @@
   /// server's loop.
   void CollectTexts(const std::vector<Part>& parts, Finish finish);
 
+  bool IsReady() const;
+
   EventLoop& m_loop;
+  std::vector<ReadyFunction> m_readiness;
   std::vector<Part> m_states;
   std::vector<Part> m_metrics;
   bool m_is_stopping = false;
--- a/source/storage/member_state.cc
+++ b/source/storage/member_state.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr uint64_t kMagic = 0x31424D4D4B524D46;  // "FMRKMMB1", little-endian.
-constexpr std::string_view kName = "member";
 constexpr std::string_view kNewName = "member.new";
 
 /// Header of the file, in little-endian order, followed by the names of the
@@ -70,7 +69,7 @@
   // The file may have been renamed just before a folder sync failed.
   if (Result<void> result = m_storage->SyncFolder(); !result)
     return result;
-  const Result<std::unique_ptr<StorageFile>> file = m_storage->Open(kName);
+  const Result<std::unique_ptr<StorageFile>> file = m_storage->Open(kFileName);
   if (!file) {
     if (file.error().kind != ErrorKind::kNotFound)
       return tl::make_unexpected(file.error());
@@ -128,7 +127,7 @@
     return result;
   if (Result<void> result = (*file)->Sync(); !result)
     return result;
-  if (Result<void> result = m_storage->Rename(kNewName, kName); !result)
+  if (Result<void> result = m_storage->Rename(kNewName, kFileName); !result)
     return result;
   return m_storage->SyncFolder();
 }
--- a/source/storage/member_state.h
+++ b/source/storage/member_state.h
@@ -2,6 +2,7 @@
 #define SOURCE_STORAGE_MEMBER_STATE_H_
 
 #include <cstdint>
+#include <string_view>
 
 #include "source/base/error.h"
 #include "source/base/ids.h"
@@ -22,6 +23,8 @@
 /// Stores the MemberState in one file, which is replaced atomically.
 class MemberStateStore {
  public:
+  static constexpr std::string_view kFileName = "member";
+
   /// Loads the state of a node. Generates an incarnation for an empty folder,
   /// and a new one for a folder that was copied or belongs to another node, so
   /// that it is not used under the identity of the original. Fails with
--- a/tests/control/membership_manager_test.cc
+++ b/tests/control/membership_manager_test.cc
@@ -39,10 +39,15 @@
 
 class RecordingTransport : public Transport {
  public:
-  void Send(const NodeId& to, const Message&) override { sent.push_back(to); }
+  void Send(const NodeId& to, const Message& message) override {
+    sent.push_back(to);
+    if (const auto* view = std::get_if<GroupView>(&message))
+      views.push_back(*view);
+  }
   void LearnAddress(const NodeId&, std::string_view) override {}
 
   std::vector<NodeId> sent;
+  std::vector<GroupView> views;
 };
 
 struct Fixture {
@@ -116,4 +121,21 @@
   CHECK(fixture.log.removed == std::vector<NodeId>{"a"});
 }
 
+// Guards against a member that discards its data because a leader without a
+// quorum, or a query alone, made the group look different from what it is.
+TEST_CASE("a query names only a leader with a quorum and changes no member") {
+  Fixture fixture;
+  fixture.log.leader = "me";
+  fixture.log.members = {{"me", 11, true}, {"a", 1, true}, {"b", 2, true}};
+  fixture.membership_manager.OnMessage("a", JoinRequest{});
+  REQUIRE(fixture.transport.views.size() == 1);
+  CHECK(fixture.transport.views[0].leader.empty());
+  fixture.log.is_leader = true;
+  fixture.membership_manager.OnMessage("a", JoinRequest{});
+  REQUIRE(fixture.transport.views.size() == 2);
+  CHECK(fixture.transport.views[1].leader == "me");
+  CHECK(fixture.log.removed.empty());
+  CHECK(fixture.log.added.empty());
+}
+
 }  // namespace fulmarrock::test
