Workflow: End the quarantine of a worker that a long-running task probes

Cause: a quarantined worker gets a single run as a probe, and success ends the quarantine. A long-running task never completes, so a worker that got one as its probe stayed in quarantine for as long as the task ran, with the rest of its capacity unused. A probe that was released with its agent left the worker in quarantine for good. Change: a long-running probe succeeds after 2 s; a released probe makes room for another one. scheduling_load has the number of quarantined workers. Result: the two tests fail without the change.

--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -241,7 +241,9 @@
           .With("filler_cpu_millicores", load.best_effort_cpu_millicores)
           .With("expected_idle_millicores", load.expected_idle_millicores)
           .With("free_cpu_millicores", load.free_cpu_millicores)
-          .With("workers", static_cast<int64_t>(Statuses(now).size())));
+          .With("workers", static_cast<int64_t>(Statuses(now).size()))
+          .With("quarantined_workers",
+                m_scheduler.health().CountQuarantined()));
 }
 
 void WorkflowService::SendInterferenceCoefficients(Millis now,
--- a/source/workflow/worker_health.cc
+++ b/source/workflow/worker_health.cc
@@ -16,6 +16,9 @@
 constexpr Millis kInitialQuarantineTime{1'500};
 constexpr Millis kMaxQuarantineTime{12'000};
 
+/// Time for which a long-running task has to run as a probe.
+constexpr Millis kLongProbeTime{2'000};
+
 }  // namespace
 
 void WorkerHealth::Clear() {
@@ -63,12 +66,18 @@
   record.quarantined_until = now + record.quarantine_time;
 }
 
-void WorkerHealth::OnAssigned(WorkerNumber worker, const TaskName& task) {
+void WorkerHealth::OnAssigned(WorkerNumber worker,
+                              const TaskName& task,
+                              bool is_long_running,
+                              Millis now) {
   const auto it = m_records.find(worker);
   if (it == m_records.end() || !it->second.is_quarantined)
     return;
   it->second.is_probing = true;
   it->second.probe = task;
+  it->second.probe_ends_at.reset();
+  if (is_long_running)
+    it->second.probe_ends_at = now + kLongProbeTime;
 }
 
 void WorkerHealth::OnNeutralEnd(WorkerNumber worker, const TaskName& task) {
@@ -77,6 +86,14 @@
     it->second.is_probing = false;
 }
 
+void WorkerHealth::EndLongProbes(Millis now) {
+  std::erase_if(m_records, [now](const auto& item) {
+    const Record& record = item.second;
+    return record.is_quarantined && record.is_probing && record.probe_ends_at &&
+           now >= *record.probe_ends_at;
+  });
+}
+
 void WorkerHealth::OnWorkflowEnded(WorkflowKey workflow) {
   m_failures.erase(workflow);
 }
@@ -108,4 +125,10 @@
   return it != workflow->second.end() && it->second.contains(worker);
 }
 
+int64_t WorkerHealth::CountQuarantined() const {
+  return std::count_if(
+      m_records.begin(), m_records.end(),
+      [](const auto& item) { return item.second.is_quarantined; });
+}
+
 }  // namespace fulmarrock
--- a/source/workflow/workflow_scheduler.cc
+++ b/source/workflow/workflow_scheduler.cc
@@ -41,14 +41,15 @@
     const auto allocation = m_allocations.find(change.worker);
     if (change.kind == RunChange::Kind::kAssigned) {
       GetOrAddAllocation(change.worker).Add(change.task, *step);
-      m_health.OnAssigned(change.worker, change.task);
+      m_health.OnAssigned(change.worker, change.task, step->is_long_running,
+                          now);
       continue;
     }
     if (allocation != m_allocations.end() && step)
       allocation->second.Remove(change.task, *step);
     if (change.kind == RunChange::Kind::kReleased)
-      continue;
-    if (change.end == RunOutcome::kDone)
+      m_health.OnNeutralEnd(change.worker, change.task);
+    else if (change.end == RunOutcome::kDone)
       m_health.OnSuccess(change.worker, now);
     else if (change.end == RunOutcome::kFailed ||
              change.end == RunOutcome::kDeclined)
@@ -84,6 +85,7 @@
   std::vector<ReadyStep> ready = FindReady(time);
   if (ready.empty())
     return plan;
+  m_health.EndLongProbes(time.now);
   std::vector<WorkerCandidate> candidates = FindCandidates(workers, time.now);
   m_ordering.Sort(ready, time.replicated);
   for (const ReadyStep& step : ready) {
--- a/tests/workflow/decisions_test.cc
+++ b/tests/workflow/decisions_test.cc
@@ -3,6 +3,7 @@
 #include "source/control/worker_link.h"
 #include "source/workflow/step_ordering.h"
 #include "source/workflow/worker_health.h"
+#include "source/workflow/workflow_scheduler.h"
 #include "source/workflow/workflow_state.h"
 #include "tests/support/workflow_cluster.h"
 
@@ -51,12 +52,57 @@
   CHECK_FALSE(health.IsUsable(1, kNow));
   const Millis later = kNow + Millis(2'000);
   REQUIRE(health.IsUsable(1, later));
-  health.OnAssigned(1, {3, 0, 0, 0});
+  health.OnAssigned(1, {3, 0, 0, 0}, false, later);
   CHECK_FALSE(health.IsUsable(1, later));
   health.OnSuccess(1, later);
   CHECK(health.IsHealthy(1));
 }
 
+// Guards against a worker that stays in quarantine for as long as a healthy
+// long-running task runs there, because such a task never completes.
+TEST_CASE("A long-running task that runs for a while ends a quarantine") {
+  WorkerHealth health;
+  health.OnFailure(1, {1, 0, 0, 0}, kNow);
+  health.OnFailure(1, {2, 0, 0, 0}, kNow);
+  const Millis begin = kNow + Millis(2'000);
+  health.OnAssigned(1, {3, 0, 0, 0}, true, begin);
+  health.EndLongProbes(begin + Millis(1'000));
+  CHECK_FALSE(health.IsUsable(1, begin + Millis(1'000)));
+  health.EndLongProbes(begin + Millis(2'000));
+  CHECK(health.IsUsable(1, begin + Millis(2'000)));
+  CHECK_FALSE(health.IsQuarantined(1));
+}
+
+// Guards against an agent's restart that takes the probe of a worker with it
+// and leaves the worker in quarantine for good.
+TEST_CASE("A probe that was released makes room for another one") {
+  WorkflowCluster cluster(1, 1, 1);
+  cluster.SetQueueConfiguration(1);
+  cluster.Submit(MakeChain(3, {1}));
+  const WorkflowState& state = cluster.state();
+  REQUIRE(state.Find(3) != nullptr);
+  const ArrivalOrdering ordering;
+  const FirstFitRunPlacement placement;
+  WorkflowScheduler scheduler(state, ordering, placement);
+  WorkflowEffects failures;
+  for (const WorkflowKey key : {1, 2})
+    failures.runs.push_back(
+        {RunChange::Kind::kEnded, {key, 0, 0, 0}, 1, 1, RunOutcome::kFailed});
+  scheduler.OnEffects(failures, kNow);
+  CHECK_FALSE(scheduler.health().IsUsable(1, kNow));
+  const Millis later = kNow + Millis(2'000);
+  WorkflowEffects assigned;
+  assigned.runs.push_back(
+      {RunChange::Kind::kAssigned, {3, 0, 0, 0}, 1, 1, RunOutcome::kDone});
+  scheduler.OnEffects(assigned, later);
+  CHECK_FALSE(scheduler.health().IsUsable(1, later));
+  WorkflowEffects released;
+  released.runs.push_back(
+      {RunChange::Kind::kReleased, {3, 0, 0, 0}, 1, 1, RunOutcome::kDone});
+  scheduler.OnEffects(released, later);
+  CHECK(scheduler.health().IsUsable(1, later));
+}
+
 TEST_CASE("A workflow that fails on all workers quarantines none of them") {
   WorkerHealth health;
   for (WorkerNumber worker = 1; worker <= 5; ++worker) {
