Base: Convert JSON to text in one place that accepts malformed names

Cause: a name that is not valid UTF-8, as a malformed message can bring one, made the next state dump throw, and the exception ended the process: entries (target announcements), control (join requests, worker reports) and agents (group views). Change: ToJsonText() replaces such bytes. Ten dumps used the throwing form; the others each passed the same arguments.

--- a/source/agent/request_server.cc
+++ b/source/agent/request_server.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "source/base/checksum.h"
+#include "source/base/json_text.h"
 
 namespace fulmarrock {
 namespace {
@@ -392,19 +393,19 @@
          {"running_ms", (m_clock.Now() - request.start).count()},
          {"deadline_in_ms", (request.deadline - m_clock.Now()).count()}});
   }
-  return nlohmann::json{{"service", m_options.service},
-                        {"incarnation", m_options.incarnation},
-                        {"leaving", IsDraining()},
-                        {"healthy", m_is_healthy},
-                        {"slots", m_options.slots},
-                        {"open_connections", m_open_connections},
-                        {"queued", m_queue.size()},
-                        {"records", m_records.size()},
-                        {"service_time_ms", CurrentLoad().service_time.count()},
-                        {"p99_ms", RecentP99().count()},
-                        {"affinities", m_affinities},
-                        {"running", running}}
-      .dump();
+  return ToJsonText(
+      nlohmann::json{{"service", m_options.service},
+                     {"incarnation", m_options.incarnation},
+                     {"leaving", IsDraining()},
+                     {"healthy", m_is_healthy},
+                     {"slots", m_options.slots},
+                     {"open_connections", m_open_connections},
+                     {"queued", m_queue.size()},
+                     {"records", m_records.size()},
+                     {"service_time_ms", CurrentLoad().service_time.count()},
+                     {"p99_ms", RecentP99().count()},
+                     {"affinities", m_affinities},
+                     {"running", running}});
 }
 
 }  // namespace fulmarrock
--- a/source/agent/task_runner_dump.cc
+++ b/source/agent/task_runner_dump.cc
@@ -1,6 +1,7 @@
 #include <nlohmann/json.hpp>
 
 #include "source/agent/task_runner.h"
+#include "source/base/json_text.h"
 
 namespace fulmarrock {
 namespace {
@@ -30,7 +31,7 @@
          {"remaining_ms", (lease.valid_until - m_clock.Now()).count()},
          {"suspended", lease.is_suspended}});
   }
-  return dump.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return ToJsonText(dump);
 }
 
 }  // namespace fulmarrock
--- a/source/agent/throttle_controller.cc
+++ b/source/agent/throttle_controller.cc
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/base/json_text.h"
+
 namespace fulmarrock {
 namespace {
 
@@ -50,7 +52,7 @@
     dump["objective_ms"] = sample->objective.count();
     dump["age_ms"] = (m_clock.Now() - sample->measured_at).count();
   }
-  return dump.dump();
+  return ToJsonText(dump);
 }
 
 }  // namespace fulmarrock
--- a/source/agent/workflow_runner_reports.cc
+++ b/source/agent/workflow_runner_reports.cc
@@ -5,6 +5,7 @@
 
 #include "source/agent/run_progress.h"
 #include "source/agent/workflow_runner.h"
+#include "source/base/json_text.h"
 
 // Reports to control, and the state dump.
 
@@ -107,7 +108,7 @@
       {"leader", m_leader_tracker.leader()},
       {"unstored_events", m_events.events().size()},
       {"runs", std::move(runs)}};
-  return state.dump();
+  return ToJsonText(state);
 }
 
 }  // namespace fulmarrock
--- a/source/consensus/consensus_node.cc
+++ b/source/consensus/consensus_node.cc
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/base/json_text.h"
+
 namespace fulmarrock {
 namespace {
 
@@ -225,7 +227,7 @@
       {"is_refused", IsRefused()},
       {"failure", m_failure ? m_failure->Describe() : std::string()},
       {"members", std::move(members)}};
-  return state.dump();
+  return ToJsonText(state);
 }
 
 void ConsensusNode::CommitUpTo(LogIndex index) {
--- a/source/control/control_dump.cc
+++ b/source/control/control_dump.cc
@@ -1,5 +1,6 @@
 #include <nlohmann/json.hpp>
 
+#include "source/base/json_text.h"
 #include "source/control/control_role.h"
 
 namespace fulmarrock {
@@ -53,7 +54,7 @@
                                               /*allow_exceptions=*/false);
   }
   // Names come from other processes and may contain invalid UTF-8.
-  return dump.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return ToJsonText(dump);
 }
 
 }  // namespace fulmarrock
--- a/source/control/supervised_member.cc
+++ b/source/control/supervised_member.cc
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/base/json_text.h"
 #include "source/storage/damaged_data.h"
 
 namespace fulmarrock {
@@ -84,7 +85,7 @@
     json["remedy"] = m_failure->remedy;
   }
   json["is_data_damaged"] = m_probe != nullptr;
-  return json.dump();
+  return ToJsonText(json);
 }
 
 void SupervisedMember::AddSeedNodes(const std::vector<NodeId>& nodes) {
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/base/json_text.h"
+
 namespace fulmarrock {
 namespace {
 
@@ -461,12 +463,11 @@
          {"is_usable", m_scheduler.health().IsUsable(number, now)},
          {"free_cpu_millicores", allocation ? allocation->free_cpu() : 0}});
   }
-  return nlohmann::json{
+  return ToJsonText(nlohmann::json{
       {"directory_version", m_state.queue_configuration().version},
       {"open_workflows", m_state.open().size()},
       {"blocked_steps", m_scheduler.blocked_steps()},
-      {"workers", std::move(workers)}}
-      .dump();
+      {"workers", std::move(workers)}});
 }
 
 }  // namespace fulmarrock
--- a/source/entry/entry_role.cc
+++ b/source/entry/entry_role.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/base/json_text.h"
 #include "source/entry/burst_admission.h"
 #include "source/entry/load_routing.h"
 
@@ -288,20 +289,19 @@
          {"service_time_ms", target.load.service_time.count()},
          {"silent_ms", (m_clock.Now() - target.last_contact).count()}});
   }
-  return nlohmann::json{
-      {"id", m_options.id},
-      {"incarnation", m_options.incarnation},
-      {"stopping", m_is_stopping},
-      {"config_version", m_config.version()},
-      {"requests_in_progress", m_callers.size()},
-      {"copies_in_flight", m_dispatcher.CountAttempts()},
-      {"keyed_in_progress", m_keyed.CountActive()},
-      {"keyed_finished", m_keyed.CountCached()},
-      {"claim_outcomes_unreported", m_claims.CountUnreported()},
-      {"targets_quarantined", m_outliers.CountQuarantined()},
-      {"targets", targets},
-      {"counters", m_counters.values()}}
-      .dump();
+  return ToJsonText(
+      nlohmann::json{{"id", m_options.id},
+                     {"incarnation", m_options.incarnation},
+                     {"stopping", m_is_stopping},
+                     {"config_version", m_config.version()},
+                     {"requests_in_progress", m_callers.size()},
+                     {"copies_in_flight", m_dispatcher.CountAttempts()},
+                     {"keyed_in_progress", m_keyed.CountActive()},
+                     {"keyed_finished", m_keyed.CountCached()},
+                     {"claim_outcomes_unreported", m_claims.CountUnreported()},
+                     {"targets_quarantined", m_outliers.CountQuarantined()},
+                     {"targets", targets},
+                     {"counters", m_counters.values()}});
 }
 
 }  // namespace fulmarrock
--- a/source/entry/workflow_gateway.cc
+++ b/source/entry/workflow_gateway.cc
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/base/json_text.h"
+
 namespace fulmarrock {
 namespace {
 
@@ -206,7 +208,7 @@
                                 {"members", m_leader_tracker.members()},
                                 {"waiting_calls", m_pending.size()},
                                 {"is_ready", IsReady()}};
-  return state.dump();
+  return ToJsonText(state);
 }
 
 }  // namespace fulmarrock
--- a/source/net/http2_transport.cc
+++ b/source/net/http2_transport.cc
@@ -11,6 +11,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/base/json_text.h"
 #include "source/message/frame_codec.h"
 #include "source/net/socket_address.h"
 
@@ -171,7 +172,7 @@
         {"queued", peer->queue.size()},
         {"queued_bytes", peer->queue.bytes()}};
   }
-  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return ToJsonText(json);
 }
 
 Result<void> Http2Transport::OnBody(const NodeId& sender,
--- a/source/net/http_worker_client.cc
+++ b/source/net/http_worker_client.cc
@@ -8,6 +8,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/base/json_text.h"
 #include "source/config/configuration_json.h"
 #include "source/config/json_reader.h"
 
@@ -19,10 +20,6 @@
 constexpr size_t kMaxBatch = 256;
 constexpr int64_t kMaxInteger = int64_t{1} << 62;
 
-std::string Dump(const json& value) {
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 std::optional<TaskEventKind> EventKindFromName(std::string_view name) {
   constexpr std::array<std::pair<std::string_view, TaskEventKind>, 6> kNames = {
       {{"started", TaskEventKind::kStarted},
@@ -113,7 +110,7 @@
 }
 
 void HttpWorkerClient::Add(const json& command) {
-  m_commands.push_back(Dump(command));
+  m_commands.push_back(ToJsonText(command));
   SendCommands();
 }
 
@@ -295,7 +292,7 @@
     m_latest_sent_lease_end = std::max(m_latest_sent_lease_end, m_lease_end);
     m_has_new_lease_end = false;
   }
-  std::string body = Dump(head);
+  std::string body = ToJsonText(head);
   body.back() = ',';
   body += "\"commands\":[";
   const size_t count = std::min(m_commands.size(), kMaxBatch);
--- a/source/net/json_response.cc
+++ b/source/net/json_response.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/base/json_text.h"
+
 namespace fulmarrock {
 
 int HttpStatus(ErrorKind kind) {
@@ -44,8 +46,7 @@
                                  {"remedy", remedy}}}};
   HttpResponse response;
   response.status = status;
-  response.body =
-      json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  response.body = ToJsonText(json);
   return response;
 }
 
--- a/source/net/operator_front_end.cc
+++ b/source/net/operator_front_end.cc
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/base/json_text.h"
 #include "source/net/json_response.h"
 #include "source/net/operator_json.h"
 
@@ -20,8 +21,7 @@
 constexpr std::string_view kMemberPrefix = "/v1/members/";
 
 HttpResponse MakeResponse(const json& value, int status = 200) {
-  HttpResponse response = MakeJsonResponse(
-      value.dump(-1, ' ', false, json::error_handler_t::replace));
+  HttpResponse response = MakeJsonResponse(ToJsonText(value));
   response.status = status;
   return response;
 }
--- a/source/net/supervisor.cc
+++ b/source/net/supervisor.cc
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/base/json_text.h"
+
 namespace fulmarrock {
 
 Supervisor::Supervisor(EventLoop& loop,
@@ -96,7 +98,7 @@
     components[child->component->Name()] = {
         {"is_running", child->is_running}, {"restarts", child->total_restarts}};
   }
-  return components.dump();
+  return ToJsonText(components);
 }
 
 }  // namespace fulmarrock
--- a/source/placement/scheduler_dump.cc
+++ b/source/placement/scheduler_dump.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/base/json_text.h"
+
 namespace fulmarrock {
 namespace {
 
@@ -48,7 +50,7 @@
     if (worker.is_quarantined)
       dump["quarantined_workers"].push_back(worker.info.node);
   }
-  return dump.dump();
+  return ToJsonText(dump);
 }
 
 }  // namespace fulmarrock
--- a/tests/control/supervised_member_test.cc
+++ b/tests/control/supervised_member_test.cc
@@ -239,4 +239,14 @@
   CHECK(group.RunUntil([&] { return group.IsVoter(node); }));
 }
 
+// Guards against a state dump that ends the process because a node asked to
+// join under a name that is not valid UTF-8.
+TEST_CASE("a member with a malformed name does not break the state dump") {
+  MemberGroup group({"a", "b", "c"});
+  SupervisedMember& leader = *group.members.at(group.Leader());
+  leader.OnMessage("node-\xff", JoinRequest{5});
+  group.Run(Millis(1'000));
+  CHECK(leader.DumpState().find("node-") != std::string::npos);
+}
+
 }  // namespace fulmarrock::test
--- a/tests/entry/entry_role_test.cc
+++ b/tests/entry/entry_role_test.cc
@@ -232,4 +232,12 @@
 }
 
 }  // namespace
+// Guards against a state dump that ends the process because a malformed message
+// brought a name that is not valid UTF-8.
+TEST_CASE("a target with a malformed name does not break the state dump") {
+  EntryFixture fixture;
+  fixture.Announce("agent-\xff", 7, false, {"kernel-\xc3"});
+  CHECK(fixture.entry.DumpState().find("agent-") != std::string::npos);
+}
+
 }  // namespace fulmarrock::test
--- a/tests/workflow/decisions_test.cc
+++ b/tests/workflow/decisions_test.cc
@@ -163,4 +163,20 @@
   CHECK(restored.Find(7)->active == 4);
 }
 
+// Guards against a state dump that ends the process because a malformed message
+// brought a name that is not valid UTF-8.
+TEST_CASE("Malformed names do not break the state dumps") {
+  WorkflowCluster cluster(1, 1, 1);
+  cluster.gateway->OnMessage("control0", GroupView{"\xff", {"\xc3("}});
+  CHECK_FALSE(cluster.gateway->DumpState().empty());
+  cluster.agents[0]->runner->OnMessage("control0",
+                                       GroupView{"\xff", {"\xc3("}});
+  CHECK_FALSE(cluster.agents[0]->runner->DumpState().empty());
+  WorkerReport report = MakeReport({}, 0);
+  report.worker_incarnation = {"worker-\xff", 1};
+  cluster.leader().OnMessage("agent-\xff", report);
+  cluster.Run(Millis(1'000));
+  CHECK_FALSE(cluster.leader().DumpState().empty());
+}
+
 }  // namespace fulmarrock::test
