Entry: Count a duplicated reply to a workflow call once

Cause: the gateway counted replies, so a reply that arrived twice hid another attempt that got none; the caller was then told that the call was certainly not stored while that attempt could still be. Change: calls carry the number of their attempt and replies repeat it, as trailing fields; the gateway keeps the attempts without a reply. Result: the test fails when the attempt is ignored, and passes now.

--- a/source/control/workflow_callers.cc
+++ b/source/control/workflow_callers.cc
@@ -40,6 +40,7 @@
     }
     WorkflowReply reply;
     reply.call = caller.call;
+    reply.attempt = caller.attempt;
     reply.kind = WorkflowReplyKind::kUnknownResult;
     Reply(caller.entry, std::move(reply));
   }
@@ -51,6 +52,7 @@
                              WorkflowBatch& next) {
   WorkflowReply reply;
   reply.call = call.call;
+  reply.attempt = call.attempt;
   if (m_state.queue_configuration().version == 0) {
     reply.kind = WorkflowReplyKind::kNotConfigured;
     reply.retry_after = kRetryAfter;
@@ -80,7 +82,7 @@
       return;
     case WorkflowCallKind::kCancel:
       next.cancellations.push_back(
-          {AddCaller({from, call.call, call.key, {}}), call.key});
+          {AddCaller({from, call.call, call.attempt, call.key, {}}), call.key});
       return;
     case WorkflowCallKind::kSubmit:
       Submit(from, call, next);
@@ -98,17 +100,20 @@
                            .With("reason", valid.error().message));
     WorkflowReply reply;
     reply.call = call.call;
+    reply.attempt = call.attempt;
     reply.kind = WorkflowReplyKind::kInvalid;
     Reply(from, std::move(reply));
     return;
   }
-  const uint64_t token = AddCaller({from, call.call, call.key, {}});
+  const uint64_t token =
+      AddCaller({from, call.call, call.attempt, call.key, {}});
   next.submissions.push_back({token, call.host, call.path, call.spec});
 }
 
 void WorkflowCallers::Show(const NodeId& from, const WorkflowCall& call) {
   WorkflowReply reply;
   reply.call = call.call;
+  reply.attempt = call.attempt;
   const WorkflowRecord* workflow = m_state.Find(call.key);
   // The record of a cancellation that came before its submission has no steps.
   const bool is_submitted = workflow && !workflow->spec.steps.empty();
@@ -134,6 +139,7 @@
                                    const WorkflowCall& call) {
   WorkflowReply reply;
   reply.call = call.call;
+  reply.attempt = call.attempt;
   reply.kind = WorkflowReplyKind::kNotLeader;
   reply.members = MemberNodesOf(*m_log);
   Reply(from, std::move(reply));
@@ -191,6 +197,7 @@
                          .With("outcome", static_cast<int64_t>(result.kind)));
   WorkflowReply reply;
   reply.call = caller.call;
+  reply.attempt = caller.attempt;
   reply.kind = result.kind;
   if (reply.kind == WorkflowReplyKind::kRefused)
     reply.retry_after = kRetryAfter;
--- a/source/control/workflow_callers.h
+++ b/source/control/workflow_callers.h
@@ -64,6 +64,7 @@
   struct Caller {
     NodeId entry;
     uint64_t call = 0;
+    uint32_t attempt = 0;
     WorkflowKey key = 0;
     ConfigurationDone done;
   };
--- a/source/entry/workflow_gateway.cc
+++ b/source/entry/workflow_gateway.cc
@@ -82,7 +82,7 @@
     return;
   pending.last_member = member;
   pending.is_sent = true;
-  ++pending.unanswered;
+  pending.unanswered.insert(++pending.call.attempt);
   m_transport.Send(member, pending.call);
 }
 
@@ -109,7 +109,11 @@
     return;
   }
   PendingCall& pending = it->second;
-  --pending.unanswered;
+  // Members of older versions do not repeat the attempt.
+  const uint32_t attempt = reply.attempt != 0 || pending.unanswered.empty()
+                               ? reply.attempt
+                               : *pending.unanswered.begin();
+  pending.unanswered.erase(attempt);
   if (!IsFinalReply(reply.kind)) {
     OnNotLeader(from, reply, pending);
     return;
@@ -119,10 +123,8 @@
   // A refusal is final only if no earlier sending of the call may be stored.
   const bool is_refusal = reply.kind == WorkflowReplyKind::kRefused ||
                           reply.kind == WorkflowReplyKind::kNotConfigured;
-  const bool may_be_stored =
-      pending.unanswered > 0 || pending.is_result_unknown;
   CallResult result{CallOutcome::kAnswered, reply, reply.retry_after};
-  if (is_refusal && may_be_stored)
+  if (is_refusal && MayBeStored(pending))
     result.outcome = CallOutcome::kUnknownResult;
   Finish(reply.call, std::move(result));
 }
@@ -151,8 +153,7 @@
     m_unanswered_since = Millis(0);
   std::vector<uint64_t> expired;
   for (auto& [id, pending] : m_pending) {
-    const bool may_be_stored =
-        pending.unanswered > 0 || pending.is_result_unknown;
+    const bool may_be_stored = MayBeStored(pending);
     if (now >= pending.deadline ||
         (!may_be_stored && now - pending.start_time >= kNotStoredTimeout)) {
       expired.push_back(id);
@@ -162,8 +163,7 @@
   }
   for (const uint64_t id : expired) {
     const PendingCall& pending = m_pending.at(id);
-    const bool may_be_stored =
-        pending.unanswered > 0 || pending.is_result_unknown;
+    const bool may_be_stored = MayBeStored(pending);
     CallResult result;
     result.outcome =
         may_be_stored ? CallOutcome::kUnknownResult : CallOutcome::kNotAccepted;
@@ -173,7 +173,7 @@
         DecisionLine("call_given_up")
             .With("workflow", FormatWorkflowKey(pending.call.key))
             .With("waited_ms", now - pending.start_time)
-            .With("unanswered", int64_t{pending.unanswered})
+            .With("unanswered", static_cast<int64_t>(pending.unanswered.size()))
             .With("leader", m_leader_tracker.leader())
             .With("outcome", may_be_stored ? "unknown_result" : "not_taken"));
     Finish(id, std::move(result));
--- a/source/entry/workflow_gateway.h
+++ b/source/entry/workflow_gateway.h
@@ -2,6 +2,7 @@
 #define SOURCE_ENTRY_WORKFLOW_GATEWAY_H_
 
 #include <functional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -79,8 +80,9 @@
     Millis start_time;
     Millis deadline;
     Millis sent_at;
-    /// Number of times the call was sent without getting a reply.
-    int unanswered = 0;
+    /// Attempts that got no reply. A reply counts once, also when it arrives
+    /// twice.
+    std::set<uint32_t> unanswered;
     /// Whether a member replied that the result is unknown.
     bool is_result_unknown = false;
     bool is_sent = false;
@@ -88,6 +90,9 @@
   };
 
   void Send(PendingCall& pending);
+  static bool MayBeStored(const PendingCall& pending) {
+    return !pending.unanswered.empty() || pending.is_result_unknown;
+  }
   NodeId ChooseMember(const PendingCall& pending) const;
   void OnReply(const NodeId& from, const WorkflowReply& reply);
   void OnNotLeader(const NodeId& from,
--- a/source/message/workflow_messages.h
+++ b/source/message/workflow_messages.h
@@ -34,10 +34,13 @@
   WorkflowKey key = 0;
   /// Only in submissions.
   WorkflowSpec spec;
+  /// Number of the sending of this call, from one; zero from older versions.
+  uint32_t attempt = 0;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
-    visitor(self.call, self.kind, self.host, self.path, self.key, self.spec);
+    visitor(self.call, self.kind, self.host, self.path, self.key, self.spec,
+            self.attempt);
   }
 };
 
@@ -71,11 +74,13 @@
   NodeId leader;
   /// Members of the control group, for finding its leader later.
   std::vector<NodeId> members;
+  /// Attempt of the call that this replies to; zero from older versions.
+  uint32_t attempt = 0;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.call, self.kind, self.phase, self.pending, self.retry_after,
-            self.leader, self.members);
+            self.leader, self.members, self.attempt);
   }
 };
 
--- a/tests/workflow/decisions_test.cc
+++ b/tests/workflow/decisions_test.cc
@@ -5,6 +5,7 @@
 #include "source/workflow/worker_health.h"
 #include "source/workflow/workflow_scheduler.h"
 #include "source/workflow/workflow_state.h"
+#include "tests/interactive/recording_transport.h"
 #include "tests/support/workflow_cluster.h"
 
 namespace fulmarrock::test {
@@ -179,4 +180,38 @@
   CHECK_FALSE(cluster.leader().DumpState().empty());
 }
 
+// Guards against a caller that is told that its call was certainly not stored,
+// because a duplicated reply hid an attempt that got no reply.
+TEST_CASE("A reply that arrives twice counts for one attempt") {
+  ManualClock clock;
+  RecordingTransport transport;
+  SeededRandom random(1);
+  NullDecisionLog decisions;
+  WorkflowGatewayOptions options;
+  options.id = "entry";
+  options.control_members = {"a", "b"};
+  WorkflowGateway gateway(options, clock, transport, random, decisions);
+  std::optional<CallResult> result;
+  gateway.Call(WorkflowCall(), Millis(5'000),
+               [&](const CallResult& reply) { result = reply; });
+  // The first attempt gets no reply, and may be stored. All others get one,
+  // and that to the second one arrives twice.
+  transport.sent.clear();
+  for (int i = 0; i < 60 && !result; ++i) {
+    clock.Advance(Millis(100));
+    gateway.OnTick();
+    for (const auto& [member, call] : transport.Take<WorkflowCall>()) {
+      WorkflowReply reply;
+      reply.call = call.call;
+      reply.attempt = call.attempt;
+      reply.kind = WorkflowReplyKind::kNotLeader;
+      gateway.OnMessage(member, reply);
+      if (call.attempt == 2)
+        gateway.OnMessage(member, reply);
+    }
+  }
+  REQUIRE(result);
+  CHECK(result->outcome == CallOutcome::kUnknownResult);
+}
+
 }  // namespace fulmarrock::test
