Control: Discard the samples of an earlier worker incarnation

Cause: the condition that was to replace the samples of an earlier worker incarnation compared the worker after it had been stored, so it never held, and best-effort tasks were placed by latencies of tasks that no longer ran. Change: the samples are discarded where the incarnation changes. Result: the test fails before and passes after.

--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -33,8 +33,10 @@
     m_worker = worker;
     m_needs_full_report = true;
     m_is_releasing = false;
+    m_latency_critical_samples.clear();
+    m_best_effort_samples.clear();
   }
-  if (report.has_samples || worker != m_worker) {
+  if (report.has_samples) {
     m_latency_critical_samples = report.latency_critical_samples;
     m_best_effort_samples = report.best_effort_samples;
   }
--- a/tests/workflow/decisions_test.cc
+++ b/tests/workflow/decisions_test.cc
@@ -214,4 +214,22 @@
   CHECK(result->outcome == CallOutcome::kUnknownResult);
 }
 
+// Guards against best-effort tasks that are placed by latencies which tasks of
+// an earlier worker incarnation had.
+TEST_CASE("Samples of an earlier worker incarnation are discarded") {
+  const WorkflowState state;
+  WorkerLink link("agent", state);
+  WorkerReport report = MakeReport({}, 0);
+  report.has_samples = true;
+  report.latency_critical_samples.resize(1);
+  report.best_effort_samples.resize(1);
+  link.OnReport(report, 1, kNow);
+  REQUIRE(link.latency_critical_samples().size() == 1);
+  WorkerReport next = MakeReport({}, 0);
+  next.worker_incarnation = {"w2", 2};
+  link.OnReport(next, 2, kNow);
+  CHECK(link.latency_critical_samples().empty());
+  CHECK(link.best_effort_samples().empty());
+}
+
 }  // namespace fulmarrock::test
