Workflow: Look up each pair of images once when a worker is chosen

Cause: choosing a worker for one task counted the best-effort images with negligible interference on every worker, which looked up every pair of images by name, and computed expected latencies that no condition used. Change: one choice looks up each latency-critical image once, as a set of best-effort images and a growth; workers where the task would be too slow are passed over first; a latency is computed only if the growth is not negligible.

--- a/source/workflow/best_effort_interference_model.cc
+++ b/source/workflow/best_effort_interference_model.cc
@@ -28,7 +28,6 @@
 /// Variance of a coefficient that an earlier leader learned.
 constexpr double kRestoredVariance = 0.004;
 
-constexpr size_t kMaxBestEffortImages = 32;
 constexpr size_t kMaxLatencyCriticalImages = 256;
 constexpr double kMinLatencyPercent = 5;
 constexpr double kMaxLatencyPercent = 1'000;
@@ -161,11 +160,18 @@
                                  : std::exp(it->second.mean[0]);
 }
 
-std::vector<std::string> ExponentialInterferenceModel::BestEffortImages()
-    const {
-  std::vector<std::string> images;
-  for (const auto& [image, index] : m_indices)
-    images.push_back(image);
+BestEffortImageSet ExponentialInterferenceModel::ImagesBelow(
+    std::string_view latency_critical_image,
+    double max_growth_per_core) const {
+  BestEffortImageSet images;
+  const auto estimate = m_estimates.find(latency_critical_image);
+  for (size_t index = 1; index <= m_indices.size(); ++index) {
+    const bool has_samples =
+        estimate != m_estimates.end() && index < estimate->second.mean.size();
+    const double growth =
+        has_samples ? estimate->second.mean[index] : kPriorGrowth;
+    images.set(index - 1, growth < max_growth_per_core);
+  }
   return images;
 }
 
--- a/source/workflow/best_effort_interference_model.h
+++ b/source/workflow/best_effort_interference_model.h
@@ -1,6 +1,8 @@
 #ifndef SOURCE_WORKFLOW_BEST_EFFORT_INTERFERENCE_MODEL_H_
 #define SOURCE_WORKFLOW_BEST_EFFORT_INTERFERENCE_MODEL_H_
 
+#include <bitset>
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <span>
@@ -21,6 +23,13 @@
   bool is_known = false;
 };
 
+/// Most best-effort images that a model tracks.
+inline constexpr size_t kMaxBestEffortImages = 32;
+
+/// A set of the best-effort images that a model has samples of. A position
+/// stands for the same image for as long as the model is not restored.
+using BestEffortImageSet = std::bitset<kMaxBestEffortImages>;
+
 /// Learns how best-effort tasks of each image raise the tail latency of
 /// latency-critical tasks of other images.
 class BestEffortInterferenceModel {
@@ -41,8 +50,11 @@
   virtual double BaselineLatency(
       std::string_view latency_critical_image) const = 0;
 
-  /// Best-effort images with at least one sample.
-  virtual std::vector<std::string> BestEffortImages() const = 0;
+  /// Best-effort images with at least one sample whose growth per core beside
+  /// the latency-critical image is below a limit.
+  virtual BestEffortImageSet ImagesBelow(
+      std::string_view latency_critical_image,
+      double max_growth_per_core) const = 0;
 
   /// Coefficients of all pairs whose estimate is known.
   virtual std::vector<InterferenceCoefficient> KnownCoefficients() const = 0;
@@ -62,7 +74,9 @@
     return {};
   }
   double BaselineLatency(std::string_view) const override { return 0; }
-  std::vector<std::string> BestEffortImages() const override { return {}; }
+  BestEffortImageSet ImagesBelow(std::string_view, double) const override {
+    return {};
+  }
   std::vector<InterferenceCoefficient> KnownCoefficients() const override {
     return {};
   }
@@ -84,7 +98,8 @@
       std::string_view best_effort_image) const override;
   double BaselineLatency(
       std::string_view latency_critical_image) const override;
-  std::vector<std::string> BestEffortImages() const override;
+  BestEffortImageSet ImagesBelow(std::string_view latency_critical_image,
+                                 double max_growth_per_core) const override;
   std::vector<InterferenceCoefficient> KnownCoefficients() const override;
   void Restore(std::span<const InterferenceCoefficient>
                    interference_coefficients) override;
--- a/source/workflow/run_placement.cc
+++ b/source/workflow/run_placement.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <string>
-#include <vector>
+#include <limits>
+#include <unordered_map>
 
 namespace fulmarrock {
 namespace {
@@ -101,15 +101,59 @@
   auto operator<=>(const Cost&) const = default;
 };
 
+/// Interference of the latency-critical images with best-effort images, looked
+/// up once for each image while a worker is chosen for one task.
+class InterferenceAwarePlacement::PairCache {
+ public:
+  struct Entry {
+    /// Best-effort images with negligible interference.
+    BestEffortImageSet negligible;
+    /// Growth per core beside the image of the task that is being placed.
+    double growth_per_core = 0;
+  };
+
+  PairCache(const BestEffortInterferenceModel& model, std::string_view image)
+      : m_model(model), m_image(image) {}
+
+  const Entry& Of(std::string_view latency_critical_image) {
+    const auto [it, is_new] = m_entries.try_emplace(latency_critical_image);
+    if (is_new) {
+      it->second.negligible =
+          m_model.ImagesBelow(latency_critical_image, kNegligibleGrowth);
+      it->second.growth_per_core =
+          m_model.EstimateInterference(latency_critical_image, m_image)
+              .growth_per_core;
+    }
+    return it->second;
+  }
+
+  /// Best-effort images whose interference with every latency-critical image
+  /// of the worker is negligible.
+  BestEffortImageSet CompatibleImages(const WorkerCandidate& candidate) {
+    BestEffortImageSet images =
+        m_model.ImagesBelow({}, std::numeric_limits<double>::infinity());
+    for (const auto& [image, count] :
+         candidate.allocation->latency_critical_images())
+      images &= Of(image).negligible;
+    return images;
+  }
+
+ private:
+  const BestEffortInterferenceModel& m_model;
+  const std::string_view m_image;
+  std::unordered_map<std::string_view, Entry> m_entries;
+};
+
 std::optional<size_t> InterferenceAwarePlacement::Choose(
     const RunRequest& request,
     std::span<const WorkerCandidate> candidates) const {
+  PairCache pairs(m_interference_model, request.step->image);
   std::optional<size_t> best;
   Cost best_cost;
   for (size_t i = 0; i < candidates.size(); ++i) {
     if (!MayRun(request, candidates[i]))
       continue;
-    const std::optional<Cost> cost = CostOf(request, candidates[i]);
+    const std::optional<Cost> cost = CostOf(request, candidates[i], pairs);
     if (cost && (!best || *cost < best_cost)) {
       best = i;
       best_cost = *cost;
@@ -120,10 +164,11 @@
 
 std::optional<InterferenceAwarePlacement::Cost>
 InterferenceAwarePlacement::CostOf(const RunRequest& request,
-                                   const WorkerCandidate& candidate) const {
+                                   const WorkerCandidate& candidate,
+                                   PairCache& pairs) const {
   const StepSpec& step = *request.step;
   if (step.is_best_effort)
-    return BestEffortCostOf(request, candidate);
+    return BestEffortCostOf(request, candidate, pairs);
   Cost cost;
   cost.health_penalty =
       request.is_last_attempt && !candidate.is_healthy ? 1 : 0;
@@ -132,12 +177,12 @@
     cost.distance = 1;
   if (step.is_long_running) {
     const auto& images = candidate.allocation->latency_critical_images();
-    const bool is_new = !images.contains(step.image);
-    cost.excluded_images =
-        is_new ? CountCompatibleImages(candidate, "") -
-                     CountCompatibleImages(candidate, step.image)
-               : 0;
-    cost.images = is_new ? images.size() + 1 : 0;
+    if (!images.contains(step.image)) {
+      const BestEffortImageSet excluded =
+          pairs.CompatibleImages(candidate) & ~pairs.Of(step.image).negligible;
+      cost.excluded_images = static_cast<int64_t>(excluded.count());
+      cost.images = images.size() + 1;
+    }
   }
   cost.tie_breaker = candidate.allocation->free_cpu();
   return cost;
@@ -180,60 +225,34 @@
   return growth;
 }
 
-bool InterferenceAwarePlacement::HasNegligibleInterference(
-    std::string_view latency_critical,
-    std::string_view best_effort) const {
-  return m_interference_model
-             .EstimateInterference(latency_critical, best_effort)
-             .growth_per_core < kNegligibleGrowth;
-}
-
-int64_t InterferenceAwarePlacement::CountCompatibleImages(
-    const WorkerCandidate& candidate,
-    std::string_view extra) const {
-  const auto& latency_critical =
-      candidate.allocation->latency_critical_images();
-  const std::vector<std::string> best_effort_images =
-      m_interference_model.BestEffortImages();
-  return std::count_if(
-      best_effort_images.begin(), best_effort_images.end(),
-      [&](const std::string& best_effort) {
-        const bool is_compatible_with_extra =
-            extra.empty() || HasNegligibleInterference(extra, best_effort);
-        return is_compatible_with_extra &&
-               std::all_of(latency_critical.begin(), latency_critical.end(),
-                           [&](const auto& item) {
-                             return HasNegligibleInterference(item.first,
-                                                              best_effort);
-                           });
-      });
+bool InterferenceAwarePlacement::ExceedsObjective(
+    std::string_view image,
+    double added,
+    const WorkerCandidate& candidate) const {
+  if (added <= kNegligibleGrowth)
+    return false;
+  const double expected = ExpectedBaselineLatency(image, candidate) *
+                          std::exp(GrowthAtFullSpeed(image, candidate) + added);
+  return expected > kMaxExpectedLatency;
 }
 
 std::optional<InterferenceAwarePlacement::Cost>
-InterferenceAwarePlacement::BestEffortCostOf(
-    const RunRequest& request,
-    const WorkerCandidate& candidate) const {
+InterferenceAwarePlacement::BestEffortCostOf(const RunRequest& request,
+                                             const WorkerCandidate& candidate,
+                                             PairCache& pairs) const {
   const StepSpec& step = *request.step;
+  const int64_t speed = BestEffortSpeed(request, candidate);
+  if (speed < kMinBestEffortSpeed && !request.is_starving)
+    return std::nullopt;
   const double cores = static_cast<double>(step.cpu_millicores) / kMillicores;
   double growth = 0;
-  bool exceeds_objective = false;
   for (const auto& [image, count] :
        candidate.allocation->latency_critical_images()) {
-    const double added =
-        m_interference_model.EstimateInterference(image, step.image)
-            .growth_per_core *
-        cores;
+    const double added = pairs.Of(image).growth_per_core * cores;
     growth += added;
-    const double expected =
-        ExpectedBaselineLatency(image, candidate) *
-        std::exp(GrowthAtFullSpeed(image, candidate) + added);
-    exceeds_objective |=
-        added > kNegligibleGrowth && expected > kMaxExpectedLatency;
+    if (!request.is_starving && ExceedsObjective(image, added, candidate))
+      return std::nullopt;
   }
-  const int64_t speed = BestEffortSpeed(request, candidate);
-  const bool is_unfit = exceeds_objective || speed < kMinBestEffortSpeed;
-  if (is_unfit && !request.is_starving)
-    return std::nullopt;
   Cost cost;
   cost.health_penalty =
       request.is_last_attempt && !candidate.is_healthy ? 1 : 0;
@@ -241,7 +260,8 @@
       !HasLabel(*candidate.attributes, step.data_rack))
     cost.distance = 1;
   cost.growth = static_cast<int64_t>(growth / kGrowthStep);
-  cost.compatible_images = CountCompatibleImages(candidate, "");
+  cost.compatible_images =
+      static_cast<int64_t>(pairs.CompatibleImages(candidate).count());
   cost.tie_breaker = -speed;
   return cost;
 }
--- a/source/workflow/run_placement.h
+++ b/source/workflow/run_placement.h
@@ -79,12 +79,15 @@
 
  private:
   struct Cost;
+  class PairCache;
 
   /// Lower is better; nothing if the task should not be placed there now.
   std::optional<Cost> CostOf(const RunRequest& request,
-                             const WorkerCandidate& candidate) const;
+                             const WorkerCandidate& candidate,
+                             PairCache& pairs) const;
   std::optional<Cost> BestEffortCostOf(const RunRequest& request,
-                                       const WorkerCandidate& candidate) const;
+                                       const WorkerCandidate& candidate,
+                                       PairCache& pairs) const;
 
   /// Latency of an image, in percent of its objective, that is expected on the
   /// worker without best-effort tasks.
@@ -94,12 +97,11 @@
   /// worker at full speed.
   double GrowthAtFullSpeed(std::string_view image,
                            const WorkerCandidate& candidate) const;
-  bool HasNegligibleInterference(std::string_view latency_critical,
-                                 std::string_view best_effort) const;
-  /// Best-effort images whose interference with the worker's latency-critical
-  /// images and with `extra`, which may be empty, is negligible.
-  int64_t CountCompatibleImages(const WorkerCandidate& candidate,
-                                std::string_view extra) const;
+  /// Whether the task would raise the latency of an image on the worker above
+  /// its objective. `added` is the growth of that latency by the task.
+  bool ExceedsObjective(std::string_view image,
+                        double added,
+                        const WorkerCandidate& candidate) const;
 
   const BestEffortInterferenceModel& m_interference_model;
 };
