Workflow: Compute what a planning round needs once

Cause: each step of a planning round summed the allocations of all workers of its service, and each task copied the list of candidates to leave out workers on which it had failed, also when it had failed on none. Change: the load of a service is computed once a round, and the list is copied only for a task that has failed. Result: no decision changes except that the load of a service is that of the begin of the round.

--- a/source/workflow/worker_health.cc
+++ b/source/workflow/worker_health.cc
@@ -116,6 +116,11 @@
          (!it->second.is_quarantined && it->second.failed.empty());
 }
 
+bool WorkerHealth::HasFailed(const TaskName& task) const {
+  const auto workflow = m_failures.find(task.workflow);
+  return workflow != m_failures.end() && workflow->second.contains(task);
+}
+
 bool WorkerHealth::HasFailedOn(const TaskName& task,
                                WorkerNumber worker) const {
   const auto workflow = m_failures.find(task.workflow);
--- a/source/workflow/worker_health.h
+++ b/source/workflow/worker_health.h
@@ -51,6 +51,8 @@
   /// Whether the worker is not quarantined and has no recent failures, so that
   /// a task's last attempt may be placed there.
   bool IsHealthy(WorkerNumber worker) const;
+  /// Whether the task failed on any worker before.
+  bool HasFailed(const TaskName& task) const;
   /// Whether the task failed on this worker before.
   bool HasFailedOn(const TaskName& task, WorkerNumber worker) const;
   /// Number of workers in quarantine.
--- a/source/workflow/workflow_scheduler.cc
+++ b/source/workflow/workflow_scheduler.cc
@@ -82,6 +82,7 @@
     size_t limit) {
   std::vector<AssignRun> plan;
   m_blocked_steps = 0;
+  m_lightly_loaded.clear();
   std::vector<ReadyStep> ready = FindReady(time);
   if (ready.empty())
     return plan;
@@ -166,7 +167,11 @@
   request.step = &ready.spec();
   request.service = ready.queue->service;
   bool has_placed_task = false;
-  const bool is_lightly_loaded = IsLightlyLoaded(request.service);
+  const auto [load, is_unknown] =
+      m_lightly_loaded.try_emplace(std::string(request.service), false);
+  if (is_unknown)
+    load->second = IsLightlyLoaded(request.service);
+  const bool is_lightly_loaded = load->second;
   for (uint32_t i = 0; i < tasks.size() && plan.size() < limit; ++i) {
     if (tasks[i].stage != TaskStage::kPending)
       continue;
@@ -226,20 +231,17 @@
 std::optional<size_t> WorkflowScheduler::ChooseFor(
     const RunRequest& request,
     std::span<const WorkerCandidate> candidates) {
+  if (!m_health.HasFailed(request.task))
+    return m_placement.Choose(request, candidates);
   // A task that failed on a worker is placed on another one if there is any.
   std::vector<WorkerCandidate> others;
   std::vector<size_t> positions;
-  bool has_failed_on_any = false;
   for (size_t i = 0; i < candidates.size(); ++i) {
-    if (m_health.HasFailedOn(request.task, candidates[i].number)) {
-      has_failed_on_any = true;
+    if (m_health.HasFailedOn(request.task, candidates[i].number))
       continue;
-    }
     others.push_back(candidates[i]);
     positions.push_back(i);
   }
-  if (!has_failed_on_any)
-    return m_placement.Choose(request, candidates);
   const std::optional<size_t> position = m_placement.Choose(request, others);
   if (position)
     return positions[*position];
--- a/source/workflow/workflow_scheduler.h
+++ b/source/workflow/workflow_scheduler.h
@@ -1,8 +1,10 @@
 #ifndef SOURCE_WORKFLOW_WORKFLOW_SCHEDULER_H_
 #define SOURCE_WORKFLOW_WORKFLOW_SCHEDULER_H_
 
+#include <functional>
 #include <map>
 #include <set>
+#include <string>
 #include <vector>
 
 #include "source/workflow/run_placement.h"
@@ -122,6 +124,8 @@
   std::map<WorkerNumber, WorkerAllocation> m_allocations;
   std::map<WorkerNumber, Millis> m_no_capacity_until;
   size_t m_blocked_steps = 0;
+  // Services with little CPU allocated at the begin of the planning round.
+  std::map<std::string, bool, std::less<>> m_lightly_loaded;
 };
 
 }  // namespace fulmarrock
