--- a/source/workflow/workflow_scheduler.cc
+++ b/source/workflow/workflow_scheduler.cc
@@ -47,12 +47,11 @@
     }
     if (allocation != m_allocations.end() && step)
       allocation->second.Remove(change.task, *step);
-    if (change.kind == RunChange::Kind::kReleased)
-      m_health.OnNeutralEnd(change.worker, change.task);
-    else if (change.end == RunOutcome::kDone)
+    const bool has_ended = change.kind == RunChange::Kind::kEnded;
+    if (has_ended && change.end == RunOutcome::kDone)
       m_health.OnSuccess(change.worker, now);
-    else if (change.end == RunOutcome::kFailed ||
-             change.end == RunOutcome::kDeclined)
+    else if (has_ended && (change.end == RunOutcome::kFailed ||
+                           change.end == RunOutcome::kDeclined))
       m_health.OnFailure(change.worker, change.task, now);
     else
       m_health.OnNeutralEnd(change.worker, change.task);
