Control: Ignore a late join request of an earlier identity

Cause: a join request that a node had sent before its data folder was replaced could arrive after the node had joined again. The leader then removed the member, and added the identity that had been removed before. Change: another identity replaces a member only when nobody has replied under the member's own for a second. A node whose folder was replaced repeats its request, and its replies count for no other identity. Result: the new test fails before and passes after. The test of a replaced folder now says that nobody replies under the old identity, as is the case; all its checks stay.

--- a/source/control/membership_manager.cc
+++ b/source/control/membership_manager.cc
@@ -13,6 +13,10 @@
 /// restart takes less.
 constexpr Millis kUnresponsiveTimeout{6'000};
 
+/// Time without a reply of a member's identity after which another identity of
+/// its node may replace it. A request of an earlier identity may arrive late.
+constexpr Millis kReplacedTimeout{1'000};
+
 /// Time without a known leader after which a member may have been removed and
 /// requests to join again.
 constexpr Millis kLeaderTimeout{3'000};
@@ -110,7 +114,13 @@
     LogChange("member_added", from, m_log.AddMember(from, incarnation));
     return;
   }
-  if (known->incarnation != incarnation && known->incarnation != 0)
+  const std::vector<NodeId> unresponsive =
+      m_log.UnresponsiveMembers(kReplacedTimeout);
+  const bool is_replaced =
+      known->incarnation != incarnation && known->incarnation != 0 &&
+      std::find(unresponsive.begin(), unresponsive.end(), from) !=
+          unresponsive.end();
+  if (is_replaced)
     LogChange("member_removed", from, m_log.RemoveMember(from));
 }
 
--- a/source/control/membership_manager.h
+++ b/source/control/membership_manager.h
@@ -17,10 +17,11 @@
 ///
 /// A member that is not in the group, or knows no leader, asks the members it
 /// knows to add it. The leader removes the old identity of a member whose
-/// data folder was replaced, and then adds the new one, which votes once it has
-/// caught up. While the number of members is even, the leader removes one that
-/// has been unresponsive for long: a group with an even number of members
-/// tolerates no more failures than a group with one member less.
+/// data folder was replaced, once nobody replies under it, and then adds the
+/// new one, which votes once it has caught up. While the number of members is
+/// even, the leader removes one that has been unresponsive for long: a group
+/// with an even number of members tolerates no more failures than a group with
+/// one member less.
 class MembershipManager {
  public:
   /// `seed_nodes` are nodes that may be members of the group. The referenced
--- a/tests/control/membership_manager_test.cc
+++ b/tests/control/membership_manager_test.cc
@@ -96,6 +96,8 @@
   fixture.log.is_leader = true;
   fixture.log.leader = "me";
   fixture.log.members = {{"me", 11, true}, {"a", 1, true}, {"b", 2, true}};
+  // Nobody replies under the old identity any more.
+  fixture.log.unresponsive = {"a"};
   fixture.membership_manager.OnMessage("a", JoinRequest{7});
   CHECK(fixture.log.removed == std::vector<NodeId>{"a"});
   CHECK(fixture.log.added.empty());
@@ -105,6 +107,19 @@
   CHECK(fixture.log.added[0].incarnation == 7);
 }
 
+// Guards against a member that is removed, and an identity that was removed
+// before and is in use again, because a request of the earlier data folder
+// arrives late.
+TEST_CASE("a late request of an earlier identity changes no member") {
+  Fixture fixture;
+  fixture.log.is_leader = true;
+  fixture.log.leader = "me";
+  fixture.log.members = {{"me", 11, true}, {"a", 7, true}, {"b", 2, true}};
+  fixture.membership_manager.OnMessage("a", JoinRequest{1});
+  CHECK(fixture.log.removed.empty());
+  CHECK(fixture.log.added.empty());
+}
+
 // Guards against a group that loses fault tolerance because the leader removes
 // an unresponsive member from a group with an odd number of members.
 TEST_CASE("an unresponsive member is removed only from an even group") {
