Control: Use a leader's reply only while it is recent

Cause: a member with damaged data took a leader's reply for good. A process that was suspended after the reply would have set its data aside although the group could have lost its quorum meanwhile. The error for damaged data, which stood in six places, has one.

--- a/source/consensus/consensus_node_replication.cc
+++ b/source/consensus/consensus_node_replication.cc
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "source/consensus/consensus_node.h"
+#include "source/storage/corruption_error.h"
 
 // The part of ConsensusNode that replicates the log, as leader and follower.
 
@@ -226,11 +227,9 @@
     if (index <= m_log->base_index() || m_log->Holds(index, entry.term))
       continue;
     if (index <= m_commit_index) {
-      FailOn(MakeError(ErrorKind::kCorruption,
-                       "the leader sent another entry for committed index " +
-                           std::to_string(index),
-                       "remove this member from the group, empty its data "
-                       "folder and add it again"));
+      FailOn(
+          CorruptionError("the leader sent another entry for committed index " +
+                          std::to_string(index)));
       return false;
     }
     if (index <= m_log->last_index())
--- a/source/consensus/entry_log.cc
+++ b/source/consensus/entry_log.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "source/message/field_codec.h"
+#include "source/storage/corruption_error.h"
 
 namespace fulmarrock {
 
@@ -120,11 +121,8 @@
     m_base_index = index - 1;
   }
   if (index > last_index() + 1) {
-    return MakeError(ErrorKind::kCorruption,
-                     "log entry " + std::to_string(index) +
-                         " is not contiguous with the log",
-                     "remove this member from the group, empty its data "
-                     "folder and add it again");
+    return CorruptionError("log entry " + std::to_string(index) +
+                           " is not contiguous with the log");
   }
   m_entries.resize(index - m_base_index - 1);
   m_entries.push_back(std::move(*entry));
@@ -135,12 +133,9 @@
                                          Term term,
                                          const Membership& members) {
   if (m_base_index > index) {
-    return MakeError(ErrorKind::kCorruption,
-                     "the log starts after index " +
-                         std::to_string(m_base_index) +
-                         ", but the snapshot ends at " + std::to_string(index),
-                     "remove this member from the group, empty its data "
-                     "folder and add it again");
+    return CorruptionError(
+        "the log starts after index " + std::to_string(m_base_index) +
+        ", but the snapshot ends at " + std::to_string(index));
   }
   // A crash during the installation of a snapshot leaves a log that ends before
   // the snapshot or conflicts with it.
--- a/source/control/group_probe.cc
+++ b/source/control/group_probe.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Millis kRequestInterval{500};
+constexpr Millis kMaxReplyAge{1'000};
 
 }  // namespace
 
@@ -33,8 +34,15 @@
 void GroupProbe::OnGroupView(const NodeId& from, const GroupView& view) {
   AddNodes(view.members);
   AddNodes({view.leader});
-  if (view.leader == from)
-    m_leader = from;
+  if (view.leader != from)
+    return;
+  m_leader = from;
+  m_leader_replied_at = m_clock.Now();
+}
+
+NodeId GroupProbe::FindLeader() const {
+  const Millis age = m_clock.Now() - m_leader_replied_at;
+  return age <= kMaxReplyAge ? m_leader : NodeId();
 }
 
 }  // namespace fulmarrock
--- a/source/control/group_probe.h
+++ b/source/control/group_probe.h
@@ -22,9 +22,10 @@
   void OnTick();
   void OnGroupView(const NodeId& from, const GroupView& view);
 
-  /// The leader that replied itself, or empty. Only a leader that a quorum
-  /// follows names itself.
-  const NodeId& leader() const { return m_leader; }
+  /// The leader that replied itself within the last second, or empty. Only a
+  /// leader that a quorum follows names itself. An older reply does not count,
+  /// as this process may have been suspended since.
+  NodeId FindLeader() const;
 
   /// Nodes that are or may be members of the group.
   std::vector<NodeId> nodes() const { return {m_nodes.begin(), m_nodes.end()}; }
@@ -35,6 +36,7 @@
   Transport& m_transport;
   std::set<NodeId> m_nodes;
   NodeId m_leader;
+  Millis m_leader_replied_at;
   Millis m_next_request;
 };
 
--- a/source/control/supervised_member.cc
+++ b/source/control/supervised_member.cc
@@ -62,7 +62,7 @@
     return;
   if (!m_probe)
     Open();
-  else if (!m_probe->leader().empty())
+  else if (!m_probe->FindLeader().empty())
     ReplaceDamagedData();
 }
 
@@ -155,6 +155,7 @@
 }
 
 void SupervisedMember::ReplaceDamagedData() {
+  const NodeId leader = m_probe->FindLeader();
   if (const Result<void> result = SetDamagedDataAside(m_env.storage); !result) {
     OnFailure(result.error());
     return;
@@ -162,7 +163,7 @@
   m_counters.Add("data_set_aside");
   m_env.decisions.Write(DecisionLine("damaged_data_set_aside")
                             .With("reason", m_failure->message)
-                            .With("leader", m_probe->leader()));
+                            .With("leader", leader));
   AddSeedNodes(m_probe->nodes());
   m_probe.reset();
   Open();
--- a/source/storage/log_file.cc
+++ b/source/storage/log_file.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "source/storage/corruption_error.h"
 #include "source/storage/log_frame.h"
 
 namespace fulmarrock {
@@ -32,12 +33,6 @@
          !HasFrameAfter(bytes, next);
 }
 
-tl::unexpected<Error> CorruptionError(std::string message) {
-  return MakeError(ErrorKind::kCorruption, std::move(message),
-                   "remove this member from the group, empty its data folder "
-                   "and add it again");
-}
-
 }  // namespace
 
 Result<std::unique_ptr<LogFile>> LogFile::Open(Storage& storage,
--- a/source/storage/member_state.cc
+++ b/source/storage/member_state.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "source/base/checksum.h"
+#include "source/storage/corruption_error.h"
 
 namespace fulmarrock {
 namespace {
@@ -29,12 +30,6 @@
 static_assert(sizeof(MemberHeader) == 48);
 constexpr size_t kUncheckedBytes = 16;
 
-tl::unexpected<Error> CorruptionError(std::string message) {
-  return MakeError(ErrorKind::kCorruption, std::move(message),
-                   "remove this member from the group, empty its data folder "
-                   "and add it again");
-}
-
 /// Never returns zero, which means "unknown".
 Incarnation GenerateIncarnation(RandomSource& random) {
   Incarnation incarnation = 0;
--- a/source/storage/snapshot_store.cc
+++ b/source/storage/snapshot_store.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "source/base/checksum.h"
+#include "source/storage/corruption_error.h"
 
 namespace fulmarrock {
 namespace {
@@ -25,12 +26,6 @@
 };
 static_assert(sizeof(SnapshotHeader) == 40);
 
-tl::unexpected<Error> CorruptionError(std::string message) {
-  return MakeError(ErrorKind::kCorruption, std::move(message),
-                   "remove this member from the group, empty its data folder "
-                   "and add it again");
-}
-
 }  // namespace
 
 Result<std::optional<StoredSnapshot>> SnapshotStore::Load() {
--- a/tests/control/supervised_member_test.cc
+++ b/tests/control/supervised_member_test.cc
@@ -172,6 +172,21 @@
   CHECK(group.RunUntil([&] { return group.IsVoter(node); }));
 }
 
+// Guards against data that is set aside because of a reply which a process got
+// before it was suspended; the group may have lost its quorum since.
+TEST_CASE("a leader's reply counts for a second only") {
+  ManualClock clock;
+  SeededRandom random(1);
+  FakeNetwork network(clock, random);
+  GroupProbe probe("a", clock, network.TransportOf("a"));
+  probe.OnGroupView("b", GroupView{"c", {"a", "b", "c"}});
+  CHECK(probe.FindLeader().empty());
+  probe.OnGroupView("c", GroupView{"c", {"a", "b", "c"}});
+  CHECK(probe.FindLeader() == "c");
+  clock.Advance(Millis(1'001));
+  CHECK(probe.FindLeader().empty());
+}
+
 // Guards against a second group: a member whose data was set aside must not
 // bootstrap, whatever its settings say.
 TEST_CASE("a member whose data was set aside never bootstraps a group") {
