Control: Log an entry that the replicated log refuses

Cause: a refused proposal was only counted, so that no line told how long the entry was or what it held.

No logic changes.

--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -47,6 +47,7 @@
                                      const WallClock& wall_clock,
                                      DecisionLog& decisions) {
   m_wall_clock = &wall_clock;
+  m_decisions = &decisions;
   m_workflows.Configure(options, decisions);
 }
 
@@ -394,7 +395,11 @@
   // callers that get their results may add commands to the next batch.
   CommandBatch batch = std::exchange(m_next_batch, {});
   const size_t bytes = std::exchange(m_next_batch_bytes, 0);
-  const Result<LogIndex> index = m_log->Propose(EncodeBatch(batch));
+  std::string command = EncodeBatch(batch);
+  const size_t command_bytes = command.size();
+  const Result<LogIndex> index = m_log->Propose(std::move(command));
+  if (!index)
+    LogRefusedProposal(batch, command_bytes, index.error());
   if (!index && index.error().kind == ErrorKind::kResourceExhausted) {
     m_counters.Add("control_proposals_delayed");
     m_next_batch = std::move(batch);
@@ -410,6 +415,25 @@
   m_last_proposed = *index;
 }
 
+void ControlRole::LogRefusedProposal(const CommandBatch& batch,
+                                     size_t bytes,
+                                     const Error& error) {
+  size_t events = 0;
+  for (const RecordEvents& command : batch.workflow.events)
+    events += command.events.size();
+  m_decisions->Write(
+      DecisionLine("proposal_refused")
+          .With("reason", error.message)
+          .With("bytes", static_cast<int64_t>(bytes))
+          .With("events", static_cast<int64_t>(events))
+          .With("assignments",
+                static_cast<int64_t>(batch.workflow.assignments.size()))
+          .With("submissions",
+                static_cast<int64_t>(batch.workflow.submissions.size()))
+          .With("configurations",
+                static_cast<int64_t>(batch.workflow.configurations.size())));
+}
+
 void ControlRole::HandleEffects(const ApplyEffects& effects) {
   const Millis now = m_clock.Now();
   m_dispatcher.OnEffects(effects, now);
--- a/source/control/control_role.h
+++ b/source/control/control_role.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "source/base/clock.h"
+#include "source/base/decision_log.h"
 #include "source/base/random_source.h"
 #include "source/base/wall_clock.h"
 #include "source/consensus/replicated_log.h"
@@ -142,6 +143,10 @@
   /// leader may send them grants without waiting for their next renewal.
   void RequestReports();
   void Flush();
+  /// Logs that the log accepted no entry with this batch.
+  void LogRefusedProposal(const CommandBatch& batch,
+                          size_t bytes,
+                          const Error& error);
   void HandleEffects(const ApplyEffects& effects);
 
   const NodeId m_self;
@@ -159,6 +164,8 @@
   TaskDispatcher m_dispatcher;
   WorkflowService m_workflows;
   const WallClock* m_wall_clock = nullptr;
+  NullDecisionLog m_no_log;
+  DecisionLog* m_decisions = &m_no_log;
   std::unique_ptr<MembershipManager> m_membership_manager;
 
   bool m_is_leader = false;
