Control: Keep the commands of an entry that the log refuses

Cause: when the log refused an entry, the leader dropped all of its commands, and what had noted them as proposed kept the note. The next event of the same agent was stored, and its sequence number acknowledged the dropped ones, so that control believed a completed run to be active. A dropped plan left the leader waiting for its commit forever; dropped calls got no reply.

Change: a refused batch is kept and proposed again while the leadership lasts, also when the refusal is a late quorum. One that is too long for the log is discarded together with everything that depends on it, as after an election. The leader acknowledges events only up to the first one that is not stored, and proposes those after a gap again.

The new check of the acknowledgement fails on the old link.

--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -398,21 +398,31 @@
   std::string command = EncodeBatch(batch);
   const size_t command_bytes = command.size();
   const Result<LogIndex> index = m_log->Propose(std::move(command));
-  if (!index)
+  if (!index) {
     LogRefusedProposal(batch, command_bytes, index.error());
-  if (!index && index.error().kind == ErrorKind::kResourceExhausted) {
-    m_counters.Add("control_proposals_delayed");
-    m_next_batch = std::move(batch);
-    m_next_batch_bytes = bytes;
+    OnRefusedProposal(std::move(batch), bytes, index.error());
     return;
   }
-  if (!index) {
+  m_counters.Add("control_proposals");
+  m_last_proposed = *index;
+}
+
+void ControlRole::OnRefusedProposal(CommandBatch batch,
+                                    size_t bytes,
+                                    const Error& error) {
+  if (error.kind == ErrorKind::kInvalidArgument) {
+    // The log will never accept the batch. Everything that counts its commands
+    // as proposed starts again from the replicated state, as after an election.
     m_counters.Add("control_proposals_refused");
-    FailWaiters(index.error());
+    OnLeadershipLost();
+    OnLeadershipGained(m_log->CurrentTerm());
     return;
   }
-  m_counters.Add("control_proposals");
-  m_last_proposed = *index;
+  // The log is full, or a quorum is late to reply. If the leadership is lost,
+  // OnLeadershipLost() discards the batch.
+  m_counters.Add("control_proposals_delayed");
+  m_next_batch = std::move(batch);
+  m_next_batch_bytes = bytes;
 }
 
 void ControlRole::LogRefusedProposal(const CommandBatch& batch,
--- a/source/control/control_role.h
+++ b/source/control/control_role.h
@@ -143,6 +143,9 @@
   /// leader may send them grants without waiting for their next renewal.
   void RequestReports();
   void Flush();
+  /// Keeps a batch that the log may accept later. Discards one that it never
+  /// accepts, together with all state that depends on it.
+  void OnRefusedProposal(CommandBatch batch, size_t bytes, const Error& error);
   /// Logs that the log accepted no entry with this batch.
   void LogRefusedProposal(const CommandBatch& batch,
                           size_t bytes,
--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -40,6 +40,7 @@
     m_latency_critical_samples = report.latency_critical_samples;
     m_best_effort_samples = report.best_effort_samples;
   }
+  m_stored_sequence = std::max(m_stored_sequence, report.stored_sequence);
   m_report = report;
   m_report.events.clear();
   m_report.listed_runs.clear();
@@ -115,8 +116,15 @@
 }
 
 void WorkerLink::OnStored(const StoredEvents& stored) {
-  if (m_has_report && stored.incarnation == m_report.agent_incarnation)
-    m_stored_sequence = std::max(m_stored_sequence, stored.last_sequence);
+  if (!m_has_report || stored.incarnation != m_report.agent_incarnation)
+    return;
+  if (stored.first_sequence > m_stored_sequence + 1) {
+    // The events before these were lost. The agent sends all again, since none
+    // is acknowledged.
+    m_proposed_sequence = m_stored_sequence;
+    return;
+  }
+  m_stored_sequence = std::max(m_stored_sequence, stored.last_sequence);
 }
 
 void WorkerLink::AddStart(const TaskName& task, RunNumber run) {
--- a/source/control/worker_link.h
+++ b/source/control/worker_link.h
@@ -34,6 +34,8 @@
   /// discards every event up to the last one that is stored.
   std::vector<RunEvent> TakeEvents(const WorkerReport& report);
 
+  /// Events were stored. They are acknowledged only if all earlier ones are
+  /// stored too; otherwise they are proposed again with those.
   void OnStored(const StoredEvents& stored);
 
   /// A run was assigned to the worker and needs a start instruction.
--- a/source/workflow/workflow_state.cc
+++ b/source/workflow/workflow_state.cc
@@ -85,12 +85,13 @@
 
 void WorkflowState::Record(const RecordEvents& command,
                            WorkflowEffects& effects) {
-  uint64_t last = 0;
-  for (const RunEvent& event : command.events) {
+  if (command.events.empty())
+    return;
+  for (const RunEvent& event : command.events)
     RecordEvent(event, effects);
-    last = std::max(last, event.sequence);
-  }
-  effects.stored.push_back({command.agent, command.incarnation, last});
+  effects.stored.push_back({command.agent, command.incarnation,
+                            command.events.front().sequence,
+                            command.events.back().sequence});
 }
 
 void WorkflowState::RecordEvent(const RunEvent& event,
--- a/source/workflow/workflow_state.h
+++ b/source/workflow/workflow_state.h
@@ -37,6 +37,7 @@
 struct StoredEvents {
   NodeId agent;
   Incarnation incarnation = 0;
+  uint64_t first_sequence = 0;
   uint64_t last_sequence = 0;
 };
 
--- a/tests/workflow/decisions_test.cc
+++ b/tests/workflow/decisions_test.cc
@@ -42,6 +42,21 @@
   CHECK(link.TakeEvents(whole).empty());
 }
 
+// Guards against an agent that discards the end of a run which is not stored,
+// because a later event was stored.
+TEST_CASE("Events after a lost one are not acknowledged before it") {
+  const WorkflowState state;
+  WorkerLink link("agent", state);
+  const WorkerReport report = MakeReport({1, 2}, 0);
+  link.OnReport(report, 1, kNow);
+  REQUIRE(link.TakeEvents(report).size() == 2);
+  link.OnStored({"agent", report.agent_incarnation, 2, 2});
+  CHECK(link.TakeInstructions(1, Millis(0), kNow).stored_sequence == 0);
+  CHECK(link.TakeEvents(report).size() == 2);
+  link.OnStored({"agent", report.agent_incarnation, 1, 2});
+  CHECK(link.TakeInstructions(1, Millis(0), kNow).stored_sequence == 2);
+}
+
 TEST_CASE(
     "A worker that fails several workflows in a row is quarantined and "
     "probed with one run") {
