Agent: Assume the longest lease in a worker that restarts under its id

What callers would see: a task runs on two workers at a time, and again after its completion was acknowledged.

Cause: until the agent learns of a worker's restart, it polls the new incarnation with deadlines on the clock of the earlier one. Such a deadline is far ahead on the new clock, so that the worker grants the longest lease that it accepts, while the agent counted the new incarnation as without a lease.

Evidence: the random test with the stricter oracle, 1 of 11,500 cases: the agent releases the runs at 4.6 s, the worker's lease ends at 6 s.

Change: after a restart under the same id the agent assumes a lease of the longest length, as a restarted agent does.

--- a/source/agent/worker_lease.cc
+++ b/source/agent/worker_lease.cc
@@ -19,13 +19,17 @@
 
 WorkerLease::WorkerLease(Millis now, Millis max_extension)
     : m_max_extension(max_extension), m_granted_until(now) {
-  m_earlier_agent_until = now + max_extension * 100 / kSlowestClockPercent;
+  m_unknown_lease_until = now + LongestExtension();
 }
 
-void WorkerLease::ResetWorker(Millis now) {
+Millis WorkerLease::LongestExtension() const {
+  return m_max_extension * 100 / kSlowestClockPercent;
+}
+
+void WorkerLease::ResetWorker(Millis now, bool has_same_id) {
   m_worker_clock.reset();
   m_worker_deadline = Millis(0);
-  m_earlier_agent_until = now;
+  m_unknown_lease_until = has_same_id ? now + LongestExtension() : now;
 }
 
 void WorkerLease::OnGranted(Millis sent_at, Millis duration) {
@@ -49,7 +53,7 @@
 }
 
 bool WorkerLease::HasExpired(Millis now) const {
-  if (now < m_earlier_agent_until + kTimerMargin)
+  if (now < m_unknown_lease_until + kTimerMargin)
     return false;
   if (!m_worker_clock)
     return true;
--- a/source/agent/worker_lease.h
+++ b/source/agent/worker_lease.h
@@ -18,8 +18,10 @@
   /// `max_extension` is the longest extension that the worker accepts at once.
   WorkerLease(Millis now, Millis max_extension);
 
-  /// A new worker incarnation started: its clock is unknown, and nothing runs.
-  void ResetWorker(Millis now);
+  /// A new worker incarnation started, whose clock is unknown. If it has the id
+  /// of the earlier one, requests that were meant for that one reached it and
+  /// may have extended its lease.
+  void ResetWorker(Millis now, bool has_same_id);
 
   /// Control granted a lease of length `duration` for a report that was sent at
   /// `sent_at`.
@@ -41,14 +43,17 @@
   bool HasExpired(Millis now) const;
 
  private:
+  Millis LongestExtension() const;
+
   Millis m_max_extension;
   Millis m_granted_until;
   std::optional<Millis> m_worker_clock;
   Millis m_worker_clock_read_at;
   // Latest deadline that was sent to the worker, on its clock.
   Millis m_worker_deadline;
-  // Until when a lease that an earlier agent process extended may last.
-  Millis m_earlier_agent_until;
+  // Until when a lease may last that an earlier agent process, or requests for
+  // an earlier worker incarnation, extended.
+  Millis m_unknown_lease_until;
 };
 
 }  // namespace fulmarrock
--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -88,6 +88,8 @@
           .With("cpu_millicores", announcement.attributes.cpu_millicores)
           .With("lost_runs", static_cast<int64_t>(m_runs.size())));
   const bool is_first = !m_worker;
+  const bool has_same_id = m_worker && m_worker->worker_incarnation.id ==
+                                           announcement.worker_incarnation.id;
   m_unconfirmed_starts.OnNewWorkerIncarnation(m_runs, now);
   m_worker = announcement;
   m_is_deregistered = false;
@@ -104,7 +106,7 @@
   m_next_poll = now;
   m_speed_limiter.OnNewWorkerIncarnation();
   if (!is_first)
-    m_lease.ResetWorker(now);
+    m_lease.ResetWorker(now, has_same_id);
   m_client.SetWorker(announcement.worker_incarnation, announcement.address);
   m_is_report_urgent = true;
 }
--- a/tests/workflow/worker_lease_test.cc
+++ b/tests/workflow/worker_lease_test.cc
@@ -39,7 +39,7 @@
     "A worker's runs count as ended only after its lease expired by a slow "
     "clock") {
   WorkerLease lease(kStart, kStep);
-  lease.ResetWorker(kStart);
+  lease.ResetWorker(kStart, false);
   lease.OnGranted(kStart, Millis(60'000));
   lease.OnWorkerClock(SlowClock(kStart), kStart);
   const Millis until = *lease.TakeExtension(kStart);
@@ -50,6 +50,20 @@
   CHECK(now - kStart < kStep);
 }
 
+// Guards against a run that continues in a restarted worker while its task is
+// started elsewhere: a poll for the earlier incarnation extended the lease of
+// the new one, by a deadline on the earlier clock.
+TEST_CASE("A worker that restarts under its id may have the longest lease") {
+  WorkerLease lease(kStart, kStep);
+  lease.OnGranted(kStart, Millis(60'000));
+  const Millis restart = kStart + Millis(20'000);
+  lease.ResetWorker(restart, true);
+  lease.OnWorkerClock(Millis(100), restart);
+  lease.TakeExtension(restart);
+  CHECK_FALSE(lease.HasExpired(restart + kStep));
+  CHECK(lease.HasExpired(restart + kStep + Millis(400)));
+}
+
 TEST_CASE(
     "A new agent process assumes that its predecessor just extended the "
     "lease") {
