Consensus: Store a long command in several entries

What callers saw: a valid configuration of 4,200 routes was never acknowledged; each attempt made the log refuse the leader's whole entry.

Cause: a command had to fit into one entry of 1 MiB. A queue configuration is stored as the operator's text and as parsed queues, 1.1 MB for 4,200 routes, while the operators' interface accepts 3 MiB.

Change: a command longer than an entry is split; all parts but the last have the kind kCommandPart, and the last part applies the whole command. The limit of a command is 8 MiB now. A member of an earlier build cannot decode the new kind and follows only after its upgrade; no entry is divided for commands that earlier builds could commit.

--- a/source/consensus/consensus_node.cc
+++ b/source/consensus/consensus_node.cc
@@ -134,7 +134,11 @@
                      "too many commands are uncommitted",
                      "try again after a delay");
   }
-  return Enqueue(EntryKind::kCommand, std::move(command));
+  LogIndex index = 0;
+  for (LogEntry& entry :
+       SplitCommand(std::move(command), m_options.max_entry_bytes))
+    index = Enqueue(entry.kind, std::move(entry.payload));
+  return index;
 }
 
 bool ConsensusNode::IsLeader() const {
@@ -237,8 +241,8 @@
     const size_t size = EntryLog::SizeOf(entry);
     m_applied_bytes += size;
     m_uncommitted_bytes -= std::min(m_uncommitted_bytes, size);
-    if (entry.kind == EntryKind::kCommand)
-      m_env.state_machine.Apply(m_commit_index, entry.payload);
+    if (const auto command = m_assembler.Add(entry))
+      m_env.state_machine.Apply(m_commit_index, *command);
   }
 }
 
@@ -253,7 +257,8 @@
   // next is delayed to let the transfer finish.
   if (m_role == Role::kLeader && m_replicator->IsSendingSnapshot())
     limit *= 4;
-  if (m_applied_bytes < limit)
+  // The parts of an incomplete command are not in the state.
+  if (m_applied_bytes < limit || m_assembler.HasParts())
     return;
   SnapshotMetadata metadata;
   metadata.index = m_commit_index;
--- a/source/consensus/consensus_node.h
+++ b/source/consensus/consensus_node.h
@@ -12,6 +12,7 @@
 #include "source/base/clock.h"
 #include "source/base/counters.h"
 #include "source/base/random_source.h"
+#include "source/consensus/command_assembler.h"
 #include "source/consensus/consensus_options.h"
 #include "source/consensus/entry_log.h"
 #include "source/consensus/replicated_log.h"
@@ -174,6 +175,7 @@
   std::set<NodeId> m_votes;
 
   LogIndex m_commit_index = 0;
+  CommandAssembler m_assembler;
   // Bytes applied since the last snapshot.
   size_t m_applied_bytes = 0;
 
--- a/source/consensus/consensus_node_replication.cc
+++ b/source/consensus/consensus_node_replication.cc
@@ -300,6 +300,7 @@
   if (FailOn(m_env.state_machine.RestoreSnapshot(state)))
     return;
   m_commit_index = chunk.snapshot_index;
+  m_assembler.Clear();
   m_applied_bytes = 0;
   m_counters.Add("snapshots_installed");
 }
--- a/source/consensus/consensus_options.h
+++ b/source/consensus/consensus_options.h
@@ -22,9 +22,12 @@
   Millis election_timeout_min{300};
   Millis election_timeout_max{600};
 
-  /// Largest command. A message carries at least one command and must stay
-  /// below the frame limit of 4 MiB.
-  size_t max_command_bytes = size_t{1} << 20;
+  /// Largest payload of an entry; a longer command is stored in several. A
+  /// message carries at least one entry and must stay below the frame limit of
+  /// 4 MiB.
+  size_t max_entry_bytes = size_t{1} << 20;
+  /// Largest command; at most `max_uncommitted_bytes`.
+  size_t max_command_bytes = size_t{8} << 20;
   /// Bytes of entries per message; a single larger entry is sent alone.
   size_t max_message_bytes = size_t{256} << 10;
   /// Bytes of unacknowledged entries sent to one follower.
--- a/source/consensus/replicated_log.h
+++ b/source/consensus/replicated_log.h
@@ -20,8 +20,8 @@
   /// Commands proposed within one tick share a sync and a round of messages.
   /// Fails with kNotLeader, also while a quorum is late to reply; with
   /// kResourceExhausted when too many commands are uncommitted; and with
-  /// kInvalidArgument for a command that is too long. An accepted command may still be lost; it takes effect
-  /// only when it reaches StateMachine::Apply().
+  /// kInvalidArgument for a command that is too long. An accepted command may
+  /// still be lost; it takes effect only when it reaches StateMachine::Apply().
   virtual Result<LogIndex> Propose(std::string command) = 0;
 
   /// Whether this member is the leader and a quorum replied within the last
--- a/source/message/consensus_messages.h
+++ b/source/message/consensus_messages.h
@@ -15,11 +15,12 @@
 /// What a log entry carries.
 enum class EntryKind : uint8_t {
   kNoOp,     ///< Appended by a new leader to commit entries of earlier terms.
-  kCommand,  ///< A command for the state machine.
-  kMembership,  ///< A new membership of the group.
+  kCommand,  ///< A command for the state machine, or the last part of one.
+  kMembership,   ///< A new membership of the group.
+  kCommandPart,  ///< A part of a long command that the next entry continues.
 };
 constexpr EntryKind MaxValue(EntryKind) {
-  return EntryKind::kMembership;
+  return EntryKind::kCommandPart;
 }
 
 /// One entry of the replicated log; its index follows from its position.
--- a/tests/consensus/consensus_property_test.cc
+++ b/tests/consensus/consensus_property_test.cc
@@ -18,14 +18,15 @@
  public:
   RandomRun(size_t size, uint64_t seed)
       : m_nodes(NodesOf(size)), m_cluster(m_nodes, seed), m_random(seed) {
-    // Small limits make snapshots, compaction and new segments occur in short
-    // runs.
+    // Small limits make snapshots, compaction, new segments and commands of
+    // several entries occur in short runs.
     ConsensusOptions& options = m_cluster.options();
     options.snapshot_log_bytes = 400;
     options.snapshot_chunk_bytes = 50;
     options.snapshot_write_bytes = 100;
     options.trailing_bytes = m_random.Below(200);
     options.segment_bytes = 300;
+    options.max_entry_bytes = 2 + m_random.Below(20);
     options.max_message_bytes = 100;
     options.max_in_flight_bytes = 200;
     m_cluster.StartAll();
--- a/tests/consensus/scenario_test.cc
+++ b/tests/consensus/scenario_test.cc
@@ -128,6 +128,7 @@
         {"max_uncommitted_bytes", &options.max_uncommitted_bytes},
         {"max_message_bytes", &options.max_message_bytes},
         {"max_in_flight_bytes", &options.max_in_flight_bytes},
+        {"max_entry_bytes", &options.max_entry_bytes},
         {"max_command_bytes", &options.max_command_bytes},
         {"trailing_bytes", &options.trailing_bytes}};
     *options_by_name.at(name) = value;
