Control: Resume after a refused entry when earlier entries are applied

What callers would see: a task runs on two workers at a time.

Cause: when the log refuses an entry for good, the leader starts again from the replicated state at once. Unlike after an election, entries that it proposed before are not applied yet. If one of them releases a worker, the leader forgets that, extends the worker's lease and sends it start instructions; then the release is applied and the tasks start elsewhere too. Entries are refused for good when they grow while the log is full, thus while others are uncommitted.

Change: the leader resumes when the entries proposed before the refused one are applied. Until then it acts as a follower.

Result: the new test fails before ("/0/0/0 ran twice at a time") and passes after.

--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -149,6 +149,7 @@
     m_distributor.OnNewVersion();
   if (m_is_leader)
     HandleEffects(effects);
+  ResumeIfApplied();
 }
 
 std::string ControlRole::SaveSnapshot() const {
@@ -165,6 +166,7 @@
 void ControlRole::OnLeadershipGained(Term) {
   const Millis now = m_clock.Now();
   m_is_leader = true;
+  m_resume_after.reset();
   m_counters.Add("control_leaderships");
   m_time_offset = m_state.time() - now;
   m_next_batch = CommandBatch();
@@ -179,6 +181,7 @@
 
 void ControlRole::OnLeadershipLost() {
   m_is_leader = false;
+  m_resume_after.reset();
   m_next_batch = CommandBatch();
   m_next_batch_bytes = 0;
   m_dispatcher.Clear();
@@ -412,10 +415,13 @@
                                     const Error& error) {
   if (error.kind == ErrorKind::kInvalidArgument) {
     // The log will never accept the batch. Everything that counts its commands
-    // as proposed starts again from the replicated state, as after an election.
+    // as proposed starts again from the replicated state, as after an election:
+    // when the earlier entries are applied, since they may release runs.
     m_counters.Add("control_proposals_refused");
+    const LogIndex last_proposed = m_last_proposed;
     OnLeadershipLost();
-    OnLeadershipGained(m_log->CurrentTerm());
+    m_resume_after = last_proposed;
+    ResumeIfApplied();
     return;
   }
   // The log is full, or a quorum is late to reply. If the leadership is lost,
@@ -425,6 +431,11 @@
   m_next_batch_bytes = bytes;
 }
 
+void ControlRole::ResumeIfApplied() {
+  if (m_resume_after && m_last_applied >= *m_resume_after)
+    OnLeadershipGained(m_log->CurrentTerm());
+}
+
 void ControlRole::LogRefusedProposal(const CommandBatch& batch,
                                      size_t bytes,
                                      const Error& error) {
--- a/source/control/control_role.h
+++ b/source/control/control_role.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -146,6 +147,9 @@
   /// Keeps a batch that the log may accept later. Discards one that it never
   /// accepts, together with all state that depends on it.
   void OnRefusedProposal(CommandBatch batch, size_t bytes, const Error& error);
+  /// Acts as the leader again when the entries proposed before a discarded
+  /// batch are applied.
+  void ResumeIfApplied();
   /// Logs that the log accepted no entry with this batch.
   void LogRefusedProposal(const CommandBatch& batch,
                           size_t bytes,
@@ -180,6 +184,8 @@
   Millis m_time_offset;
   LogIndex m_last_proposed = 0;
   LogIndex m_last_applied = 0;
+  // Set between the discard of a batch and ResumeIfApplied().
+  std::optional<LogIndex> m_resume_after;
   WorkerIndex m_next_report_request = 0;
   // Numbers of the newest events proposed per worker, to skip resent ones.
   std::unordered_map<WorkerIndex, uint64_t> m_proposed_events;
--- a/tests/refused_proposals/refused_proposals_test.cc
+++ b/tests/refused_proposals/refused_proposals_test.cc
@@ -76,4 +76,35 @@
   }
 }
 
+// Guards against a run that an agent starts while an entry that releases it is
+// uncommitted: a refused entry made the leader renew the lease again.
+TEST_CASE("A release that is not committed stays valid after a refused entry") {
+  WorkflowCluster cluster(3, 2, 1);
+  cluster.SetQueueConfiguration(1);
+  for (auto& agent : cluster.agents)
+    agent->worker.duration = Millis(4'000);
+  cluster.Run(Millis(1'000));
+  cluster.network.Isolate("agent0");
+  cluster.Submit(MakeChain(7, {8}));
+  const auto is_releasing = [&cluster] {
+    return cluster.leader().counters().Get("control_worker_leases_expired") > 0;
+  };
+  for (int i = 0; i < 1'000 && !is_releasing(); ++i) {
+    cluster.log.SetDelay(Millis(i < 100 ? 2 : 600));
+    cluster.Run(kTickInterval);
+  }
+  REQUIRE(is_releasing());
+  cluster.network.Rejoin("agent0");
+  cluster.log.SetRefusal(ErrorKind::kInvalidArgument);
+  cluster.leader().SetQueueConfiguration({}, [](const Result<bool>&) {});
+  cluster.Run(kTickInterval * 2);
+  cluster.log.SetRefusal(std::nullopt);
+  CHECK(cluster.leader().counters().Get("control_proposals_refused") > 0);
+  cluster.Run(Millis(2'000));
+  cluster.log.SetDelay(Millis(2));
+  cluster.Run(Millis(12'000));
+  CHECK(cluster.FindViolation() == "");
+  CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
+}
+
 }  // namespace fulmarrock::test
