Control: Register a worker only after the entry with its earlier ends

What callers would see: completed tasks run again after their worker restarted.

Cause: the ends of a worker's earlier incarnation have to be stored before the new incarnation is registered, since the registration releases their runs. The check covered only the ends of the same report. While the log is full, ends of an earlier report wait in the next entry, the registration was added to that entry, and an entry applies registrations first. The ends were then ignored and acknowledged.

Change: no registration is added to an entry that has ends of the same agent.

--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -136,12 +136,16 @@
       link.attached_agent_incarnation() == report.agent_incarnation;
   link.OnReport(report, kNoWorkerNumber, now);
   // Ends of runs that were assigned to an earlier worker incarnation are stored
-  // before the registration of the new one releases those runs.
+  // before the registration of the new one releases those runs. They may be in
+  // the next entry since an earlier report; an entry applies registrations
+  // first.
   std::vector<RunEvent> ends = link.TakeEvents(report);
-  const bool has_ends = !ends.empty();
-  if (has_ends)
+  if (!ends.empty())
     next.events.push_back(
         {link.agent(), report.agent_incarnation, std::move(ends)});
+  const bool has_ends = std::any_of(
+      next.events.begin(), next.events.end(),
+      [&](const auto& other) { return other.agent == link.agent(); });
   // A start request of an earlier agent process may still reach the new worker
   // incarnation if it has the same id. Only a stop request there keeps the run
   // from starting.
--- a/tests/refused_proposals/refused_proposals_test.cc
+++ b/tests/refused_proposals/refused_proposals_test.cc
@@ -107,4 +107,27 @@
   CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
 }
 
+// Guards against a completed run that is released and runs again: its end and
+// the next worker incarnation were in one entry, which applies registrations
+// first.
+TEST_CASE("An end that waits for the log is stored before a registration") {
+  for (Millis restart(300); restart < Millis(800); restart += kRefusalStep) {
+    WorkflowCluster cluster(3, 2, 1);
+    cluster.SetQueueConfiguration(1);
+    cluster.Run(Millis(1'000));
+    cluster.Submit(MakeChain(7, {2}));
+    cluster.Run(Millis(200));
+    cluster.log.SetFull(true);
+    cluster.Run(restart);
+    cluster.agents[0]->worker.Restart();
+    cluster.agents[1]->worker.Restart();
+    cluster.Run(Millis(1'500));
+    cluster.log.SetFull(false);
+    cluster.Run(Millis(4'000));
+    INFO("restarted after " << restart.count() << " ms");
+    CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
+    CHECK(CountCompleted(cluster, 7) == 2);
+  }
+}
+
 }  // namespace fulmarrock::test
