Control: Repeat the stop of a run that control does not know

What callers would see: a run goes on while its task runs elsewhere.

Cause: a run that an agent lists and that is not active in the replicated state is stopped by one instruction, which was discarded when it was sent. If that message is lost, nothing repeats it, since the agent lists its runs only in full reports.

Change: control requests a full report as long as the last report listed such a run; the agent lists a run until it stops it.

--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -85,9 +85,14 @@
     listed_runs.insert(run.task);
     m_starts.erase(run.task);
   }
-  if (!report.is_full_report)
+  // The instruction to stop an unknown run may be lost. The agent lists the run
+  // again until it stops it.
+  const bool has_unknown_runs = !m_unknown_runs.empty();
+  if (!report.is_full_report) {
+    m_needs_full_report |= has_unknown_runs;
     return;
-  m_needs_full_report = false;
+  }
+  m_needs_full_report = has_unknown_runs;
   std::set<TaskName> ended;
   for (const RunEvent& event : report.events)
     ended.insert(event.task);
--- a/tests/workflow/decisions_test.cc
+++ b/tests/workflow/decisions_test.cc
@@ -57,6 +57,26 @@
   CHECK(link.TakeInstructions(1, Millis(0), kNow).stored_sequence == 2);
 }
 
+// Guards against a run that continues on a worker while its task runs
+// elsewhere, because the only instruction to stop it was lost.
+TEST_CASE("A run that control does not know is stopped until it is gone") {
+  const WorkflowState state;
+  WorkerLink link("agent", state);
+  WorkerReport report = MakeReport({}, 0);
+  report.is_full_report = true;
+  report.listed_runs = {{{7, 0, 0, 0}, 1}};
+  for (int i = 0; i < 2; ++i) {
+    link.OnReport(report, 1, kNow);
+    const WorkerInstructions instructions =
+        link.TakeInstructions(1, Millis(0), kNow);
+    CHECK(instructions.stops.size() == 1);
+    CHECK(instructions.needs_full_report);
+  }
+  report.listed_runs.clear();
+  link.OnReport(report, 1, kNow);
+  CHECK_FALSE(link.TakeInstructions(1, Millis(0), kNow).needs_full_report);
+}
+
 TEST_CASE(
     "A worker that fails several workflows in a row is quarantined and "
     "probed with one run") {
