Agent: Repeat unstored ends while other reports are sent

What callers would see: ends of runs are stored late on a busy worker, so that its capacity stays in use.

Cause: events count as sent when a report with them is handed to the transport, which may drop it. They were sent again only 400 ms after the last report of any kind. Starts and ends send reports at once, so that a busy agent did not send the lost ones again; control accepts no later event before those.

Change: the 400 ms count from the last report that held all unstored events.

Result: in the new test, in which a task starts every 100 ms, the end is not stored 1 s after its report was lost before, and is stored after.

--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -160,6 +160,8 @@
   bool m_is_report_urgent = false;
   Millis m_last_report;
   uint64_t m_sent_sequence = 0;
+  // When a report last held all events that control has not stored.
+  Millis m_all_events_sent_at;
   std::vector<RunId> m_newly_confirmed;
 };
 
--- a/source/agent/workflow_runner_reports.cc
+++ b/source/agent/workflow_runner_reports.cc
@@ -69,9 +69,11 @@
     report.listed_runs = m_newly_confirmed;
   }
   m_newly_confirmed.clear();
-  const bool resends = now - m_last_report >= kEventResendDelay ||
+  const bool resends = now - m_all_events_sent_at >= kEventResendDelay ||
                        !m_leader_tracker.IsLeaderResponsive(now) ||
                        report.is_full_report;
+  if (resends)
+    m_all_events_sent_at = now;
   for (const RunEvent& event : m_events.events()) {
     if (resends || event.sequence > m_sent_sequence)
       report.events.push_back(event);
--- a/tests/workflow/workflow_cluster_test.cc
+++ b/tests/workflow/workflow_cluster_test.cc
@@ -86,6 +86,29 @@
   CHECK(cluster.FindViolation().empty());
 }
 
+// Guards against ends that are not stored for as long as a worker is busy: a
+// lost report was repeated only after 400 ms without any other report.
+TEST_CASE("The end in a lost report is stored while other runs start and end") {
+  WorkflowCluster cluster(1, 1, 1);
+  cluster.SetQueueConfiguration(1);
+  cluster.Run(Millis(1'000));
+  const auto submit = [&cluster](WorkflowKey key) {
+    WorkflowSpec spec = MakeChain(key, {1});
+    spec.steps[0].cpu_millicores = 50;
+    spec.steps[0].memory_mib = 10;
+    cluster.Submit(spec);
+    cluster.Run(Millis(100));
+  };
+  submit(100);
+  cluster.Run(Millis(150));
+  cluster.network.Cut("agent0", "control0");
+  cluster.Run(Millis(100));
+  cluster.network.Heal("agent0", "control0");
+  for (WorkflowKey key = 101; key < 110; ++key)
+    submit(key);
+  CHECK(cluster.PhaseOf(100) == WorkflowPhase::kCompleted);
+}
+
 TEST_CASE("Runs survive a change of leader and do not run again") {
   WorkflowCluster cluster(3, 2, 1);
   cluster.SetQueueConfiguration(1);
