Agent: Report all unstored ends with the end of all runs

What callers would see: a completed task runs again after its worker left.

Cause: control releases the runs of a worker that deregistered, or whose lease expired, on the report that says so. That report held only the events that were not sent before. If the report of a completion was lost, its run was released.

Change: a report that all runs have ended holds all events that control has not stored.

Result: the new test fails before (2 executions of 1 task) and passes after.

--- a/source/agent/workflow_runner_reports.cc
+++ b/source/agent/workflow_runner_reports.cc
@@ -69,9 +69,11 @@
     report.listed_runs = m_newly_confirmed;
   }
   m_newly_confirmed.clear();
+  // Control releases all runs on a report that all have ended, so that it needs
+  // every end with it.
   const bool resends = now - m_all_events_sent_at >= kEventResendDelay ||
                        !m_leader_tracker.IsLeaderResponsive(now) ||
-                       report.is_full_report;
+                       report.is_full_report || report.all_runs_ended;
   if (resends)
     m_all_events_sent_at = now;
   for (const RunEvent& event : m_events.events()) {
--- a/tests/workflow/workflow_cluster_test.cc
+++ b/tests/workflow/workflow_cluster_test.cc
@@ -109,6 +109,29 @@
   CHECK(cluster.PhaseOf(100) == WorkflowPhase::kCompleted);
 }
 
+// Guards against a completed run that is released and runs again, because the
+// report of its end was lost and the report of the deregistration came next.
+TEST_CASE("The end in a lost report is stored before a worker's runs end") {
+  WorkflowCluster cluster(1, 2, 1);
+  cluster.SetQueueConfiguration(1);
+  cluster.Run(Millis(1'000));
+  cluster.Submit(MakeChain(7, {1}));
+  cluster.Run(Millis(200));
+  REQUIRE(cluster.Executions().size() == 1);
+  const bool is_first = cluster.agents[0]->worker.running_count() == 1;
+  WorkflowCluster::AgentNode& agent = *cluster.agents[is_first ? 0 : 1];
+  cluster.network.Cut(agent.node, "control0");
+  while (agent.worker.running_count() > 0)
+    cluster.Run(kTickInterval);
+  cluster.Run(Millis(50));
+  cluster.network.Heal(agent.node, "control0");
+  agent.worker.mode = Mode::kDown;
+  agent.runner->OnDeregistration(agent.worker.worker_incarnation.id);
+  cluster.Run(Millis(2'000));
+  CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
+  CHECK(cluster.Executions().size() == 1);
+}
+
 TEST_CASE("Runs survive a change of leader and do not run again") {
   WorkflowCluster cluster(3, 2, 1);
   cluster.SetQueueConfiguration(1);
