Control: Do not count the bytes of refused requests

What callers would see: a leader without other traffic accepts no configuration any more after an invalid one of 0.5 MiB or more.

Cause: the bytes of a queue configuration are added to the next entry before the configuration is validated. They were taken off only with the entry, and an entry without commands is not proposed.

Change: the bytes of an entry without commands are discarded in each tick.

Result: in the new test the valid configuration after an invalid one of 1 MiB is refused before, and in force after.

--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -391,8 +391,11 @@
 }
 
 void ControlRole::Flush() {
-  if (m_next_batch.IsEmpty())
+  if (m_next_batch.IsEmpty()) {
+    // Requests that were refused after their bytes were counted.
+    m_next_batch_bytes = 0;
     return;
+  }
   m_next_batch.time = m_clock.Now() + m_time_offset;
   // A group of one member may apply the batch before Propose() returns, and the
   // callers that get their results may add commands to the next batch.
--- a/tests/refused_proposals/refused_proposals_test.cc
+++ b/tests/refused_proposals/refused_proposals_test.cc
@@ -130,4 +130,22 @@
   }
 }
 
+// Guards against a leader that accepts no change any more: the bytes of invalid
+// configurations counted as waiting for the log.
+TEST_CASE("Invalid configurations do not use up the next entry") {
+  WorkflowCluster cluster(1, 0, 1);
+  QueueConfiguration invalid;
+  invalid.version = 1;
+  invalid.document = std::string(kMaxEntryBytes, 'x');
+  invalid.queues.emplace_back().service = "unknown";
+  bool is_accepted = true;
+  cluster.leader().SetQueueConfiguration(
+      invalid,
+      [&](const Result<bool>& result) { is_accepted = result.has_value(); });
+  CHECK_FALSE(is_accepted);
+  cluster.Run(Millis(1'000));
+  cluster.SetQueueConfiguration(1);
+  CHECK(cluster.state().queue_configuration().version == 1);
+}
+
 }  // namespace fulmarrock::test
