Control: Limit the submissions in an entry that waits for the log

What callers would see: while the log is full, all commands of the leader's next entry fail together after some time, among them ends of runs.

Cause: the leader keeps an entry that a full log refuses and adds commands to it. Submissions of workflows and their repetitions were neither counted nor limited, so that the entry grows until it is longer than the log accepts, and is discarded.

Change: submissions count towards the size of the entry. Submissions and cancellations beyond 1 MiB get no reply; the entry process sends them again, as with claims.

An entry of the log may have 8 MiB.

--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -26,6 +26,17 @@
   return bytes;
 }
 
+size_t CallBytes(const WorkflowCall& call) {
+  size_t bytes = 64 + call.host.size() + call.path.size();
+  bytes += call.spec.payload.size();
+  for (const StepSpec& step : call.spec.steps) {
+    bytes += 64 + 2 * step.depends_on.size();
+    bytes += step.required_label.size() + step.data_rack.size();
+    bytes += step.image.size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 ControlRole::ControlRole(NodeId self,
@@ -95,7 +106,7 @@
                                     const Message& message) {
   if (const auto* call = std::get_if<WorkflowCall>(&message)) {
     if (IsLeading() && !m_is_stopping)
-      m_workflows.callers().OnCall(from, *call, m_next_batch.workflow);
+      OnWorkflowCall(from, *call);
     else
       m_workflows.callers().RedirectCall(from, *call);
     return true;
@@ -110,6 +121,20 @@
   return false;
 }
 
+void ControlRole::OnWorkflowCall(const NodeId& from, const WorkflowCall& call) {
+  const bool is_change = call.kind == WorkflowCallKind::kSubmit ||
+                         call.kind == WorkflowCallKind::kCancel;
+  // An overloaded leader does not reply: an earlier attempt of this call may
+  // wait for the log. The entry process sends the call again.
+  if (is_change && m_next_batch_bytes >= kMaxEntryBytes) {
+    m_counters.Add("control_calls_dropped");
+    return;
+  }
+  if (is_change)
+    m_next_batch_bytes += CallBytes(call);
+  m_workflows.callers().OnCall(from, call, m_next_batch.workflow);
+}
+
 void ControlRole::OnTick() {
   const Millis now = m_clock.Now();
   m_distributor.OnTick(now);
--- a/source/control/control_role.h
+++ b/source/control/control_role.h
@@ -124,6 +124,7 @@
 
   /// Handles a message about workflows; returns whether it was one.
   bool OnWorkflowMessage(const NodeId& from, const Message& message);
+  void OnWorkflowCall(const NodeId& from, const WorkflowCall& call);
   void OnAnnounce(const NodeId& from, const WorkerAnnounce& announce);
   void OnRenew(const NodeId& from, const LeaseRenew& renew);
   void OnReport(const NodeId& from, const LeaseReport& report);
--- a/tests/refused_proposals/refused_proposals_test.cc
+++ b/tests/refused_proposals/refused_proposals_test.cc
@@ -107,6 +107,33 @@
   CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
 }
 
+// Guards against an entry that grows with every submission while the log is
+// full, until it is longer than the log accepts.
+TEST_CASE("Submissions do not enlarge an entry that waits for the log") {
+  WorkflowCluster cluster(1, 0, 1);
+  cluster.SetQueueConfiguration(1);
+  cluster.Run(Millis(1'000));
+  cluster.log.SetFull(true);
+  WorkflowCall call;
+  call.host = "queue.example";
+  call.path = "/q/";
+  call.spec = MakeChain(0, {1});
+  call.spec.payload = std::string(60'000, 'x');
+  for (uint64_t i = 1; i <= 200; ++i) {
+    call.call = i;
+    call.key = i;
+    call.spec.key = i;
+    cluster.network.TransportOf("client").Send("control0", call);
+    cluster.Run(kTickInterval);
+  }
+  const uint64_t before = cluster.log.committed_bytes();
+  cluster.log.SetFull(false);
+  cluster.Run(kTickInterval * 2);
+  const uint64_t bytes = cluster.log.committed_bytes() - before;
+  CHECK(bytes > kMaxEntryBytes / 2);
+  CHECK(bytes < kMaxEntryBytes * 2);
+}
+
 // Guards against a completed run that is released and runs again: its end and
 // the next worker incarnation were in one entry, which applies registrations
 // first.
