--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -26,6 +26,17 @@
   return bytes;
 }
 
+size_t CallBytes(const WorkflowCall& call) {
+  size_t bytes = 64 + call.host.size() + call.path.size();
+  bytes += call.spec.payload.size();
+  for (const StepSpec& step : call.spec.steps) {
+    bytes += 64 + 2 * step.depends_on.size();
+    bytes += step.required_label.size() + step.data_rack.size();
+    bytes += step.image.size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 ControlRole::ControlRole(NodeId self,
@@ -95,7 +106,7 @@
                                     const Message& message) {
   if (const auto* call = std::get_if<WorkflowCall>(&message)) {
     if (IsLeading() && !m_is_stopping)
-      m_workflows.callers().OnCall(from, *call, m_next_batch.workflow);
+      OnWorkflowCall(from, *call);
     else
       m_workflows.callers().RedirectCall(from, *call);
     return true;
@@ -110,6 +121,20 @@
   return false;
 }
 
+void ControlRole::OnWorkflowCall(const NodeId& from, const WorkflowCall& call) {
+  const bool is_change = call.kind == WorkflowCallKind::kSubmit ||
+                         call.kind == WorkflowCallKind::kCancel;
+  // An overloaded leader does not reply: an earlier attempt of this call may
+  // wait for the log. The entry process sends the call again.
+  if (is_change && m_next_batch_bytes >= kMaxEntryBytes) {
+    m_counters.Add("control_calls_dropped");
+    return;
+  }
+  if (is_change)
+    m_next_batch_bytes += CallBytes(call);
+  m_workflows.callers().OnCall(from, call, m_next_batch.workflow);
+}
+
 void ControlRole::OnTick() {
   const Millis now = m_clock.Now();
   m_distributor.OnTick(now);
@@ -149,6 +174,7 @@
     m_distributor.OnNewVersion();
   if (m_is_leader)
     HandleEffects(effects);
+  ResumeIfApplied();
 }
 
 std::string ControlRole::SaveSnapshot() const {
@@ -165,6 +191,7 @@
 void ControlRole::OnLeadershipGained(Term) {
   const Millis now = m_clock.Now();
   m_is_leader = true;
+  m_resume_after.reset();
   m_counters.Add("control_leaderships");
   m_time_offset = m_state.time() - now;
   m_next_batch = CommandBatch();
@@ -179,6 +206,7 @@
 
 void ControlRole::OnLeadershipLost() {
   m_is_leader = false;
+  m_resume_after.reset();
   m_next_batch = CommandBatch();
   m_next_batch_bytes = 0;
   m_dispatcher.Clear();
@@ -388,8 +416,11 @@
 }
 
 void ControlRole::Flush() {
-  if (m_next_batch.IsEmpty())
+  if (m_next_batch.IsEmpty()) {
+    // Requests that were refused after their bytes were counted.
+    m_next_batch_bytes = 0;
     return;
+  }
   m_next_batch.time = m_clock.Now() + m_time_offset;
   // A group of one member may apply the batch before Propose() returns, and the
   // callers that get their results may add commands to the next batch.
@@ -412,10 +443,13 @@
                                     const Error& error) {
   if (error.kind == ErrorKind::kInvalidArgument) {
     // The log will never accept the batch. Everything that counts its commands
-    // as proposed starts again from the replicated state, as after an election.
+    // as proposed starts again from the replicated state, as after an election:
+    // when the earlier entries are applied, since they may release runs.
     m_counters.Add("control_proposals_refused");
+    const LogIndex last_proposed = m_last_proposed;
     OnLeadershipLost();
-    OnLeadershipGained(m_log->CurrentTerm());
+    m_resume_after = last_proposed;
+    ResumeIfApplied();
     return;
   }
   // The log is full, or a quorum is late to reply. If the leadership is lost,
@@ -425,6 +459,11 @@
   m_next_batch_bytes = bytes;
 }
 
+void ControlRole::ResumeIfApplied() {
+  if (m_resume_after && m_last_applied >= *m_resume_after)
+    OnLeadershipGained(m_log->CurrentTerm());
+}
+
 void ControlRole::LogRefusedProposal(const CommandBatch& batch,
                                      size_t bytes,
                                      const Error& error) {
--- a/tests/refused_proposals/refused_proposals_test.cc
+++ b/tests/refused_proposals/refused_proposals_test.cc
@@ -76,4 +76,103 @@
   }
 }
 
+// Guards against a run that an agent starts while an entry that releases it is
+// uncommitted: a refused entry made the leader renew the lease again.
+TEST_CASE("A release that is not committed stays valid after a refused entry") {
+  WorkflowCluster cluster(3, 2, 1);
+  cluster.SetQueueConfiguration(1);
+  for (auto& agent : cluster.agents)
+    agent->worker.duration = Millis(4'000);
+  cluster.Run(Millis(1'000));
+  cluster.network.Isolate("agent0");
+  cluster.Submit(MakeChain(7, {8}));
+  const auto is_releasing = [&cluster] {
+    return cluster.leader().counters().Get("control_worker_leases_expired") > 0;
+  };
+  for (int i = 0; i < 1'000 && !is_releasing(); ++i) {
+    cluster.log.SetDelay(Millis(i < 100 ? 2 : 600));
+    cluster.Run(kTickInterval);
+  }
+  REQUIRE(is_releasing());
+  cluster.network.Rejoin("agent0");
+  cluster.log.SetRefusal(ErrorKind::kInvalidArgument);
+  cluster.leader().SetQueueConfiguration({}, [](const Result<bool>&) {});
+  cluster.Run(kTickInterval * 2);
+  cluster.log.SetRefusal(std::nullopt);
+  CHECK(cluster.leader().counters().Get("control_proposals_refused") > 0);
+  cluster.Run(Millis(2'000));
+  cluster.log.SetDelay(Millis(2));
+  cluster.Run(Millis(12'000));
+  CHECK(cluster.FindViolation() == "");
+  CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
+}
+
+// Guards against an entry that grows with every submission while the log is
+// full, until it is longer than the log accepts.
+TEST_CASE("Submissions do not enlarge an entry that waits for the log") {
+  WorkflowCluster cluster(1, 0, 1);
+  cluster.SetQueueConfiguration(1);
+  cluster.Run(Millis(1'000));
+  cluster.log.SetFull(true);
+  WorkflowCall call;
+  call.host = "queue.example";
+  call.path = "/q/";
+  call.spec = MakeChain(0, {1});
+  call.spec.payload = std::string(60'000, 'x');
+  for (uint64_t i = 1; i <= 200; ++i) {
+    call.call = i;
+    call.key = i;
+    call.spec.key = i;
+    cluster.network.TransportOf("client").Send("control0", call);
+    cluster.Run(kTickInterval);
+  }
+  const uint64_t before = cluster.log.committed_bytes();
+  cluster.log.SetFull(false);
+  cluster.Run(kTickInterval * 2);
+  const uint64_t bytes = cluster.log.committed_bytes() - before;
+  CHECK(bytes > kMaxEntryBytes / 2);
+  CHECK(bytes < kMaxEntryBytes * 2);
+}
+
+// Guards against a completed run that is released and runs again: its end and
+// the next worker incarnation were in one entry, which applies registrations
+// first.
+TEST_CASE("An end that waits for the log is stored before a registration") {
+  for (Millis restart(300); restart < Millis(800); restart += kRefusalStep) {
+    WorkflowCluster cluster(3, 2, 1);
+    cluster.SetQueueConfiguration(1);
+    cluster.Run(Millis(1'000));
+    cluster.Submit(MakeChain(7, {2}));
+    cluster.Run(Millis(200));
+    cluster.log.SetFull(true);
+    cluster.Run(restart);
+    cluster.agents[0]->worker.Restart();
+    cluster.agents[1]->worker.Restart();
+    cluster.Run(Millis(1'500));
+    cluster.log.SetFull(false);
+    cluster.Run(Millis(4'000));
+    INFO("restarted after " << restart.count() << " ms");
+    CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
+    CHECK(CountCompleted(cluster, 7) == 2);
+  }
+}
+
+// Guards against a leader that accepts no change any more: the bytes of invalid
+// configurations counted as waiting for the log.
+TEST_CASE("Invalid configurations do not use up the next entry") {
+  WorkflowCluster cluster(1, 0, 1);
+  QueueConfiguration invalid;
+  invalid.version = 1;
+  invalid.document = std::string(kMaxEntryBytes, 'x');
+  invalid.queues.emplace_back().service = "unknown";
+  bool is_accepted = true;
+  cluster.leader().SetQueueConfiguration(
+      invalid,
+      [&](const Result<bool>& result) { is_accepted = result.has_value(); });
+  CHECK_FALSE(is_accepted);
+  cluster.Run(Millis(1'000));
+  cluster.SetQueueConfiguration(1);
+  CHECK(cluster.state().queue_configuration().version == 1);
+}
+
 }  // namespace fulmarrock::test
