Placement: Split the fair scheduler into a class for each job

Change: TaskAdmission applies the plans, sizes tasks and reports those that cannot run. ReservationPlanner reserves workers and quota for tasks that have been pending for long. EvictionCoordinator starts evictions. UsageRecorder evaluates usage reports. EvictableWorkerSearch holds the rotation that reservations and evictions share, so that they see the same workers as before. FairScheduler keeps the placement and the life cycle of tasks and workers. The reason for a customer without a plan was written twice and stands once now.

--- a/source/placement/fair_scheduler.cc
+++ b/source/placement/fair_scheduler.cc
@@ -6,37 +6,6 @@
 #include "source/placement/scheduler_dump.h"
 
 namespace fulmarrock {
-namespace {
-
-// Batch tasks of a customer are ordered by the time they became pending plus
-// their estimated run time, capped at this, so that no task waits longer than
-// this for shorter ones.
-constexpr Millis kMaxOrderDelay = Millis::FromSeconds(600);
-
-// Blocked tasks that have been pending for this long may reserve a worker.
-constexpr Millis kReserveInteractiveAfter = Millis::FromSeconds(5);
-constexpr Millis kReserveBatchAfter = Millis::FromSeconds(30);
-constexpr Millis kReservationInterval = Millis::FromSeconds(1);
-
-// Reservations per class: one in small clusters, otherwise one per this many
-// workers, so that about two percent of the capacity is reserved.
-constexpr size_t kWorkersPerReservation = 50;
-
-// Limit of the reservations of urgent tasks at a time, and the number of
-// workers that are compared for one reservation.
-constexpr size_t kMaxUrgentReservations = 512;
-constexpr size_t kEvictionCandidates = 16;
-
-// Urgent tasks wait this long for a running task to end before others are
-// evicted for them.
-constexpr Millis kEvictAfter{300};
-
-size_t MaxReservations(const Cluster& cluster) {
-  return std::max<size_t>(
-      1, cluster.known_worker_count() / kWorkersPerReservation);
-}
-
-}  // namespace
 
 FairScheduler::State::State(SchedulerPolicies selected)
     : policies(std::move(selected)),
@@ -45,7 +14,21 @@
         if (worker.IsSchedulable())
           queue.OnCapacityIncrease(index, worker.UsableCapacity());
       }),
-      reservations(cluster, queue) {}
+      reservations(cluster, queue),
+      admission(*policies.estimator, cluster, queue, reservations),
+      usage(policies, cluster, queue, overloads),
+      evictable_workers(cluster),
+      reservation_planner(policies,
+                          cluster,
+                          queue,
+                          evictable_workers,
+                          reservations),
+      evictions(*policies.eviction,
+                cluster,
+                queue,
+                evictable_workers,
+                reservations,
+                overloads) {}
 
 FairScheduler::FairScheduler(PolicyFactory make_policies)
     : m_make_policies(std::move(make_policies)),
@@ -56,17 +39,7 @@
 }
 
 void FairScheduler::SetConfiguration(const Configuration& configuration) {
-  m_state->configuration = configuration;
-  for (CustomerIndex i = 0; i < m_state->queue.customer_count(); ++i) {
-    if (!RefreshCustomer(i))
-      continue;
-    for (const TaskId task : m_state->queue.TasksOfCustomer(i)) {
-      m_state->reservations.Remove(task);
-      Requeue(task);
-      m_state->unchecked_tasks.push_back(task);
-    }
-    m_state->queue.UnblockCustomer(i);
-  }
+  m_state->admission.SetConfiguration(configuration);
 }
 
 void FairScheduler::UpsertWorker(const WorkerInfo& worker) {
@@ -91,25 +64,11 @@
 }
 
 void FairScheduler::Enqueue(const PendingTask& task) {
-  if (m_state->queue.Find(task.task) || m_state->cluster.FindTask(task.task))
-    return;
-  if (!m_state->configuration.FindPlanOfCustomer(task.spec->customer)) {
-    ReportUnplaceable(task.task,
-                      "customer " + task.spec->customer +
-                          " is not in the list of customers or has "
-                          "an unknown plan; add it to the configuration");
-    return;
-  }
-  const CustomerIndex customer =
-      m_state->queue.InternCustomer(task.spec->customer);
-  RefreshCustomer(customer);
-  m_state->queue.Add(MakeEntry(task, customer));
-  m_state->unchecked_tasks.push_back(task.task);
+  m_state->admission.Enqueue(task);
 }
 
 void FairScheduler::RemovePending(TaskId task) {
-  m_state->reservations.Remove(task);
-  m_state->queue.Remove(task);
+  m_state->admission.Remove(task);
 }
 
 void FairScheduler::AddRunning(const PendingTask& task,
@@ -118,11 +77,8 @@
   if (m_state->cluster.FindTask(task.task))
     return;
   RemovePending(task.task);
-  const CustomerIndex customer =
-      m_state->queue.InternCustomer(task.spec->customer);
-  RefreshCustomer(customer);
-  RecordAllocation(MakeEntry(task, customer),
-                   m_state->cluster.FindOrAdd(worker), started);
+  const PendingEntry entry = m_state->admission.MakeEntry(task);
+  RecordAllocation(entry, m_state->cluster.FindOrAdd(worker), started);
 }
 
 void FairScheduler::Release(TaskId task, AttemptResult result, Millis runtime) {
@@ -159,156 +115,43 @@
 std::vector<Placement> FairScheduler::Schedule(size_t limit, Millis now) {
   m_state->now = now;
   std::vector<Placement> placements;
-  RequeueChanged();
-  RemoveUnplaceable();
-  m_state->reservations.RemoveStale(now);
-  for (const OverloadTracker::ReleasedCapacity& released_capacity :
-       m_state->overloads.Release(now))
-    m_state->cluster.RemoveReservation(released_capacity.worker,
-                                       released_capacity.size);
+  for (const WorkloadKey workload : m_state->usage.TakeChangedWorkloads())
+    m_state->admission.RequeueWorkload(workload);
+  m_state->admission.RemoveUnplaceable();
+  RemoveStaleReservations(now);
   UnblockForProbes(now);
   PlaceUrgent(limit, now, placements);
   PlaceReserved(TaskClass::kBatch, limit, now, placements);
   PlaceClass(TaskClass::kInteractive, limit, now, placements);
   PlaceClass(TaskClass::kBatch, limit, now, placements);
-  ReserveForLongPending(now);
+  m_state->reservation_planner.ReserveWorkers(now);
   return placements;
 }
 
 std::vector<Eviction> FairScheduler::ChooseEvictions(Millis now) {
   m_state->now = now;
-  std::vector<Eviction> evictions;
-  EvictForUrgent(now, evictions);
-  EvictForServices(now, evictions);
-  return evictions;
+  return m_state->evictions.Choose(now);
 }
 
 std::vector<UnplaceableTask> FairScheduler::TakeUnplaceable() {
-  RemoveUnplaceable();
-  std::vector<UnplaceableTask> unplaceable =
-      std::exchange(m_state->unplaceable, {});
-  // A task may have been enqueued again in the meantime.
-  std::erase_if(unplaceable, [&](const UnplaceableTask& item) {
-    return m_state->queue.Find(item.task) ||
-           m_state->cluster.FindTask(item.task);
-  });
-  return unplaceable;
-}
-
-bool FairScheduler::RefreshCustomer(CustomerIndex customer) {
-  CustomerState& state = m_state->queue.customer(customer);
-  const Plan* plan = m_state->configuration.FindPlanOfCustomer(state.name);
-  const Plan wanted = plan ? *plan : Plan();
-  const bool is_changed = state.is_listed != (plan != nullptr) ||
-                          state.weight != wanted.weight ||
-                          !(state.quota == wanted.quota) ||
-                          state.allows_urgent != wanted.allows_urgent;
-  state.is_listed = plan != nullptr;
-  state.weight = wanted.weight;
-  state.quota = wanted.quota;
-  state.allows_urgent = wanted.allows_urgent;
-  return is_changed;
+  return m_state->admission.TakeUnplaceable();
 }
 
-TaskClass FairScheduler::ClassOf(const JobSpec& spec,
-                                 const CustomerState& customer) const {
-  if (spec.is_urgent && customer.allows_urgent)
-    return TaskClass::kUrgent;
-  return spec.kind == TaskKind::kBatch ? TaskClass::kBatch
-                                       : TaskClass::kInteractive;
-}
-
-PendingEntry FairScheduler::MakeEntry(const PendingTask& task,
-                                      CustomerIndex customer) const {
-  const JobSpec& spec = *task.spec;
-  PendingEntry entry;
-  entry.task = task;
-  entry.customer = customer;
-  entry.task_class = ClassOf(spec, m_state->queue.customer(customer));
-  entry.workload = WorkloadKeyOf(spec);
-  const UsageEstimator& estimator = *m_state->policies.estimator;
-  entry.need = m_state->cluster.ClampToCapacity(
-      estimator.EstimateSize(entry.workload, spec.resources), spec.resources);
-  entry.order = task.pending_since;
-  if (entry.task_class == TaskClass::kBatch)
-    entry.order += std::min(
-        estimator.EstimateRuntime(entry.workload, spec.expected_runtime),
-        kMaxOrderDelay);
-  return entry;
-}
-
-void FairScheduler::Requeue(TaskId task) {
-  const PendingEntry* entry = m_state->queue.Find(task);
-  if (!entry)
-    return;
-  const PendingEntry renewed = MakeEntry(entry->task, entry->customer);
-  if (renewed.task_class == entry->task_class && renewed.need == entry->need)
-    return;
-  m_state->reservations.Remove(task);
-  m_state->queue.Remove(task);
-  m_state->queue.Add(renewed);
-}
-
-void FairScheduler::RequeueChanged() {
-  for (const WorkloadKey workload :
-       std::exchange(m_state->changed_workloads, {}))
-    for (const TaskId task : m_state->queue.TasksOfWorkload(workload))
-      Requeue(task);
-}
-
-std::optional<std::string> FairScheduler::FindUnplaceableReason(
-    const PendingEntry& entry) const {
-  const CustomerState& customer = m_state->queue.customer(entry.customer);
-  const Resources& requested = entry.task.spec->resources;
-  if (!customer.is_listed)
-    return "customer " + customer.name +
-           " is not in the list of customers or has an unknown plan; add it "
-           "to the configuration";
-  if (!requested.FitsIn(customer.quota))
-    return "the task needs " + requested.ToString() + ", but the plan of " +
-           customer.name + " allows " + customer.quota.ToString() +
-           "; reduce the size or raise the quota";
-  // Sizes are not checked before the first worker is known.
-  if (m_state->cluster.known_worker_count() > 0 &&
-      !m_state->cluster.FitsSomeCapacity(requested))
-    return "the task needs " + requested.ToString() +
-           ", but no worker is that large; reduce the size or add such a "
-           "worker";
-  return std::nullopt;
-}
-
-void FairScheduler::RemoveUnplaceable() {
-  std::vector<TaskId> tasks = std::exchange(m_state->unchecked_tasks, {});
-  const uint64_t version = m_state->cluster.capacity_version();
-  if (version != m_state->checked_capacity_version) {
-    m_state->checked_capacity_version = version;
-    for (const TaskId head : m_state->queue.GroupHeads()) {
-      const PendingEntry& entry = *m_state->queue.Find(head);
-      const bool is_resized =
-          !(MakeEntry(entry.task, entry.customer).need == entry.need);
-      if (!is_resized && !FindUnplaceableReason(entry))
-        continue;
-      for (const TaskId task : m_state->queue.TasksOfGroup(head)) {
-        Requeue(task);
-        tasks.push_back(task);
-      }
-    }
-  }
-  for (const TaskId task : tasks) {
-    const PendingEntry* entry = m_state->queue.Find(task);
-    if (!entry)
-      continue;
-    const std::optional<std::string> unplaceable_reason =
-        FindUnplaceableReason(*entry);
-    if (!unplaceable_reason)
-      continue;
-    RemovePending(task);
-    ReportUnplaceable(task, *unplaceable_reason);
-  }
+void FairScheduler::OnUsage(const NodeId& worker,
+                            const UsageReport& report,
+                            Millis now) {
+  m_state->now = now;
+  const std::optional<WorkerIndex> index = m_state->cluster.Find(worker);
+  if (index)
+    m_state->usage.Record(*index, report, now);
 }
 
-void FairScheduler::ReportUnplaceable(TaskId task, const std::string& reason) {
-  m_state->unplaceable.push_back({task, reason});
+void FairScheduler::RemoveStaleReservations(Millis now) {
+  m_state->reservations.RemoveStale(now);
+  for (const OverloadTracker::ReleasedCapacity& released_capacity :
+       m_state->overloads.Release(now))
+    m_state->cluster.RemoveReservation(released_capacity.worker,
+                                       released_capacity.size);
 }
 
 void FairScheduler::RecordAllocation(const PendingEntry& entry,
@@ -403,9 +246,7 @@
       continue;
     }
     m_state->queue.BlockSize(entry.need);
-    const std::optional<WorkerIndex> earliest = FindEarliestWorker(entry, now);
-    if (earliest)
-      m_state->reservations.Add(entry, earliest, now);
+    m_state->reservation_planner.ReserveWorker(entry, now);
   }
 }
 
@@ -419,7 +260,8 @@
     if (!entry)
       return;
     if (!m_state->reservations.FitsQuota(*entry)) {
-      HandleQuotaExceeded(*entry, now);
+      m_state->reservation_planner.ReserveQuota(*entry, now);
+      m_state->queue.BlockOnQuota(*entry);
       continue;
     }
     const std::optional<WorkerIndex> worker = ChooseWorker(*entry, now);
@@ -430,15 +272,6 @@
   }
 }
 
-void FairScheduler::HandleQuotaExceeded(const PendingEntry& entry, Millis now) {
-  if (now - entry.task.pending_since >= kReserveBatchAfter &&
-      !m_state->reservations.HasQuotaReservation(entry.customer,
-                                                 entry.task_class) &&
-      !m_state->reservations.Find(entry.task.task))
-    m_state->reservations.Add(entry, std::nullopt, now);
-  m_state->queue.BlockOnQuota(entry);
-}
-
 std::optional<WorkerIndex> FairScheduler::ChooseWorker(
     const PendingEntry& entry,
     Millis now) {
@@ -492,160 +325,6 @@
                                     failure_attribution.IsQuarantined(worker));
 }
 
-void FairScheduler::ReserveForLongPending(Millis now) {
-  if (now < m_state->next_reservation)
-    return;
-  m_state->next_reservation = now + kReservationInterval;
-  ReserveForClass(TaskClass::kInteractive, now);
-  ReserveForClass(TaskClass::kBatch, now);
-}
-
-void FairScheduler::ReserveForClass(TaskClass task_class, Millis now) {
-  const size_t max_reservations = MaxReservations(m_state->cluster);
-  if (m_state->reservations.CountOfClass(task_class) >= max_reservations)
-    return;
-  const Millis delay = task_class == TaskClass::kBatch
-                           ? kReserveBatchAfter
-                           : kReserveInteractiveAfter;
-  struct LongPendingTask {
-    double rank = 0;
-    Millis pending_since;
-    TaskId task;
-  };
-  std::vector<LongPendingTask> long_pending_tasks;
-  const auto index = static_cast<size_t>(task_class);
-  m_state->queue.VisitBlocked(task_class, [&](const PendingEntry& entry) {
-    if (now - entry.task.pending_since < delay ||
-        !m_state->reservations.FitsQuota(entry) ||
-        m_state->reservations.HasWorker(entry.task.task))
-      return;
-    const CustomerState& customer = m_state->queue.customer(entry.customer);
-    const CustomerDemand demand{customer.running[index], customer.weight,
-                                entry.order};
-    long_pending_tasks.push_back(
-        {m_state->policies.customer_order->Rank(
-             demand, m_state->cluster.total_capacity()),
-         entry.task.pending_since, entry.task.task});
-  });
-  std::sort(long_pending_tasks.begin(), long_pending_tasks.end(),
-            [](const LongPendingTask& left, const LongPendingTask& right) {
-              return std::tie(left.rank, left.pending_since, left.task) <
-                     std::tie(right.rank, right.pending_since, right.task);
-            });
-  for (const LongPendingTask& item : long_pending_tasks) {
-    if (m_state->reservations.CountOfClass(task_class) >= max_reservations)
-      return;
-    const PendingEntry& entry = *m_state->queue.Find(item.task);
-    const std::optional<WorkerIndex> worker = FindEarliestWorker(entry, now);
-    if (worker)
-      m_state->reservations.Add(entry, *worker, now);
-  }
-}
-
-std::optional<WorkerIndex> FairScheduler::FindEarliestWorker(
-    const PendingEntry& entry,
-    Millis now) {
-  std::vector<WorkerIndex> candidates;
-  m_state->cluster.evictable_index().Collect(entry.need, kEvictionCandidates,
-                                             ++m_state->rotation, candidates);
-  std::optional<WorkerIndex> best;
-  Millis earliest;
-  for (const WorkerIndex index : candidates) {
-    const Millis time_until_fit =
-        EstimateTimeUntilFit(m_state->cluster.worker(index), entry.need, now);
-    if (!best || time_until_fit < earliest) {
-      best = index;
-      earliest = time_until_fit;
-    }
-  }
-  return best;
-}
-
-Millis FairScheduler::EstimateTimeUntilFit(const Worker& worker,
-                                           const Resources& need,
-                                           Millis now) const {
-  std::vector<std::pair<Millis, const RunningTask*>> ends;
-  for (const RunningTask* task : worker.tasks) {
-    if (!task->IsEvictable())
-      continue;
-    const Millis runtime = m_state->policies.estimator->EstimateRuntime(
-        task->workload, task->spec->expected_runtime);
-    ends.emplace_back(std::max(task->started + runtime, now), task);
-  }
-  std::sort(ends.begin(), ends.end(), [](const auto& left, const auto& right) {
-    return left.first < right.first;
-  });
-  Resources usable = worker.UsableCapacity();
-  for (const auto& [end, task] : ends) {
-    if (need.FitsIn(usable))
-      return end - now;
-    usable += task->allocated;
-  }
-  return ends.empty() ? Millis(0) : ends.back().first - now;
-}
-
-void FairScheduler::EvictForUrgent(Millis now, std::vector<Eviction>& out) {
-  EvictionPolicy& policy = *m_state->policies.eviction;
-  for (const TaskId task : m_state->queue.BlockedTasks(
-           TaskClass::kUrgent, kMaxUrgentReservations)) {
-    const PendingEntry& entry = *m_state->queue.Find(task);
-    const size_t allowance = policy.Allowance(
-        EvictionCause::kUrgentWork, m_state->cluster.batch_task_count(), now);
-    if (allowance == 0)
-      return;
-    if (now - entry.task.pending_since < kEvictAfter ||
-        !m_state->reservations.FitsQuota(entry) ||
-        m_state->reservations.HasWorker(task))
-      continue;
-    std::vector<WorkerIndex> candidates;
-    m_state->cluster.evictable_index().Collect(entry.need, kEvictionCandidates,
-                                               ++m_state->rotation, candidates);
-    std::optional<EvictionPlan> best;
-    WorkerIndex best_worker = 0;
-    for (const WorkerIndex index : candidates) {
-      std::optional<EvictionPlan> plan =
-          policy.Plan(m_state->cluster.worker(index), entry.need, now);
-      if (plan && (!best || plan->cost < best->cost)) {
-        best = std::move(plan);
-        best_worker = index;
-      }
-    }
-    if (!best || best->tasks.size() > allowance)
-      continue;
-    m_state->reservations.Add(entry, best_worker, now);
-    for (const TaskId victim : best->tasks)
-      Evict(victim, "frees capacity for urgent task " + ToString(task), now,
-            out);
-  }
-}
-
-void FairScheduler::EvictForServices(Millis now, std::vector<Eviction>& out) {
-  EvictionPolicy& policy = *m_state->policies.eviction;
-  for (const WorkerIndex worker : m_state->overloads.Due(now)) {
-    if (policy.Allowance(EvictionCause::kOverloadedService,
-                         m_state->cluster.batch_task_count(), now) == 0)
-      return;
-    const std::optional<TaskId> victim =
-        policy.ChooseVictim(m_state->cluster.worker(worker), now);
-    if (!victim)
-      continue;
-    const Resources size = m_state->cluster.FindTask(*victim)->allocated;
-    Evict(*victim, "a service on the worker exceeds its latency objective", now,
-          out);
-    m_state->cluster.AddReservation(worker, size);
-    m_state->overloads.OnEviction(worker, size, now);
-  }
-}
-
-void FairScheduler::Evict(TaskId task,
-                          const std::string& reason,
-                          Millis now,
-                          std::vector<Eviction>& out) {
-  m_state->cluster.MarkEvicting(*m_state->cluster.FindTask(task));
-  m_state->policies.eviction->RecordEviction(task, now);
-  out.push_back({task, reason});
-}
-
 std::string FairScheduler::DumpState() const {
   return DumpScheduler(m_state->queue, m_state->cluster, m_state->reservations);
 }
--- a/source/placement/fair_scheduler.h
+++ b/source/placement/fair_scheduler.h
@@ -4,17 +4,21 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "source/placement/bounded_map.h"
 #include "source/placement/cluster.h"
+#include "source/placement/evictable_worker_search.h"
+#include "source/placement/eviction_coordinator.h"
 #include "source/placement/overload_tracker.h"
 #include "source/placement/pending_queue.h"
+#include "source/placement/reservation_planner.h"
 #include "source/placement/reservation_table.h"
 #include "source/placement/scheduler.h"
 #include "source/placement/scheduler_policies.h"
+#include "source/placement/task_admission.h"
+#include "source/placement/usage_recorder.h"
 
 namespace fulmarrock {
 
@@ -60,36 +64,19 @@
     Cluster cluster;
     ReservationTable reservations;
     OverloadTracker overloads;
-    Configuration configuration;
-    /// Pending tasks for which FindUnplaceableReason() has not run yet.
-    std::vector<TaskId> unchecked_tasks;
-    std::vector<UnplaceableTask> unplaceable;
-    /// Workloads whose size estimate changed since the last Schedule().
-    std::set<WorkloadKey> changed_workloads;
+    TaskAdmission admission;
+    UsageRecorder usage;
+    EvictableWorkerSearch evictable_workers;
+    ReservationPlanner reservation_planner;
+    EvictionCoordinator evictions;
     /// Run time of the earlier attempts that is preserved in a checkpoint.
     BoundedMap<TaskId, Millis> checkpointed_runtime{20'000};
-    uint64_t checked_capacity_version = 0;
     Millis now;
-    Millis next_reservation;
-    uint32_t rotation = 0;
   };
 
-  /// Copies the customer's plan from the configuration into the queue. Returns
-  /// whether it changed.
-  bool RefreshCustomer(CustomerIndex customer);
-  TaskClass ClassOf(const JobSpec& spec, const CustomerState& customer) const;
-  PendingEntry MakeEntry(const PendingTask& task, CustomerIndex customer) const;
-  /// Updates the queue entry of a pending task after the customer's plan, the
-  /// size estimate or the worker capacities changed.
-  void Requeue(TaskId task);
-  void RequeueChanged();
-
-  /// Returns why the task cannot run even on an empty cluster, or nothing.
-  std::optional<std::string> FindUnplaceableReason(
-      const PendingEntry& entry) const;
-  void RemoveUnplaceable();
-  void ReportUnplaceable(TaskId task, const std::string& reason);
-
+  /// Removes the reservations that cannot be satisfied or have expired, also
+  /// those for overloaded services.
+  void RemoveStaleReservations(Millis now);
   void Start(TaskId task,
              WorkerIndex worker,
              Millis now,
@@ -115,40 +102,12 @@
                   size_t limit,
                   Millis now,
                   std::vector<Placement>& out);
-  /// Blocks the task's group on the quota, and reserves quota for the task if
-  /// it has been pending for long.
-  void HandleQuotaExceeded(const PendingEntry& entry, Millis now);
   std::optional<WorkerIndex> ChooseWorker(const PendingEntry& entry,
                                           Millis now);
   std::optional<WorkerIndex> ChooseProbe(const PendingEntry& entry, Millis now);
   void UnblockForProbes(Millis now);
   void ApplyQuarantine();
 
-  /// Reserves workers for tasks that have been pending for long, so that
-  /// smaller tasks cannot overtake them for ever.
-  void ReserveForLongPending(Millis now);
-  void ReserveForClass(TaskClass task_class, Millis now);
-  std::optional<WorkerIndex> FindEarliestWorker(const PendingEntry& entry,
-                                                Millis now);
-  /// Returns the expected time until enough batch tasks of the worker have
-  /// ended for `need` to fit.
-  Millis EstimateTimeUntilFit(const Worker& worker,
-                              const Resources& need,
-                              Millis now) const;
-
-  void EvictForUrgent(Millis now, std::vector<Eviction>& out);
-  void EvictForServices(Millis now, std::vector<Eviction>& out);
-  void Evict(TaskId task,
-             const std::string& reason,
-             Millis now,
-             std::vector<Eviction>& out);
-
-  void RecordTaskUsage(WorkerIndex worker, const TaskUsage& usage);
-  /// Services and colocated tasks are named in the report by their workload.
-  void RecordServiceLatencies(WorkerIndex worker,
-                              const UsageReport& report,
-                              Millis now);
-
   PolicyFactory m_make_policies;
   std::unique_ptr<State> m_state;
 };
--- a/source/placement/reservation_table.h
+++ b/source/placement/reservation_table.h
@@ -15,6 +15,9 @@
 
 namespace fulmarrock {
 
+/// Limit of the reservations of urgent tasks at a time.
+inline constexpr size_t kMaxUrgentReservations = 512;
+
 /// What is reserved for a pending task: a part of its customer's quota and, if
 /// `worker` is set, capacity of that worker.
 struct Reservation {
--- a/source/placement/fair_scheduler_usage.cc
+++ b/source/placement/usage_recorder.cc
@@ -1,9 +1,9 @@
+#include "source/placement/usage_recorder.h"
+
 #include <algorithm>
+#include <string>
 #include <utility>
-
-#include "source/placement/fair_scheduler.h"
-
-// Evaluation of the usage reports of the workers.
+#include <vector>
 
 namespace fulmarrock {
 namespace {
@@ -30,26 +30,26 @@
 
 }  // namespace
 
-void FairScheduler::OnUsage(const NodeId& worker,
-                            const UsageReport& report,
-                            Millis now) {
-  m_state->now = now;
-  const std::optional<WorkerIndex> index = m_state->cluster.Find(worker);
-  if (!index)
-    return;
+void UsageRecorder::Record(WorkerIndex worker,
+                           const UsageReport& report,
+                           Millis now) {
   for (const TaskUsage& usage : report.tasks)
-    RecordTaskUsage(*index, usage);
-  RecordServiceLatencies(*index, report, now);
+    RecordTaskUsage(worker, usage);
+  RecordServiceLatencies(worker, report, now);
+}
+
+std::set<WorkloadKey> UsageRecorder::TakeChangedWorkloads() {
+  return std::exchange(m_changed_workloads, {});
 }
 
-void FairScheduler::RecordTaskUsage(WorkerIndex worker,
+void UsageRecorder::RecordTaskUsage(WorkerIndex worker,
                                     const TaskUsage& usage) {
-  RunningTask* running = m_state->cluster.FindTask(usage.task);
+  RunningTask* running = m_cluster.FindTask(usage.task);
   if (!running || running->worker != worker)
     return;
-  if (m_state->policies.estimator->RecordUsage(
-          running->workload, usage.cpu_millicores, usage.memory_mib))
-    m_state->changed_workloads.insert(running->workload);
+  if (m_policies.estimator->RecordUsage(running->workload, usage.cpu_millicores,
+                                        usage.memory_mib))
+    m_changed_workloads.insert(running->workload);
   const Resources& requested = running->spec->resources;
   Resources allocated = running->allocated;
   allocated.cpu_millicores = AdjustAllocation(
@@ -58,13 +58,13 @@
       allocated.memory_mib, requested.memory_mib, usage.memory_mib);
   if (allocated == running->allocated)
     return;
-  CustomerState& customer = m_state->queue.customer(running->customer);
+  CustomerState& customer = m_queue.customer(running->customer);
   customer.running[static_cast<size_t>(running->task_class)] +=
       allocated - running->allocated;
-  m_state->cluster.UpdateAllocation(*running, allocated);
+  m_cluster.UpdateAllocation(*running, allocated);
 }
 
-void FairScheduler::RecordServiceLatencies(WorkerIndex worker,
+void UsageRecorder::RecordServiceLatencies(WorkerIndex worker,
                                            const UsageReport& report,
                                            Millis now) {
   double worst = -1;
@@ -83,12 +83,12 @@
     // The service may be a target that is not a scheduled task; its colocated
     // tasks interfere with it all the same.
     const WorkloadKey service = MakeWorkloadKey(latency.service);
-    m_state->cluster.AddReportedService(worker, service);
-    m_state->policies.interference->Record(service, colocated, ratio,
-                                           now - report.age);
+    m_cluster.AddReportedService(worker, service);
+    m_policies.interference->Record(service, colocated, ratio,
+                                    now - report.age);
   }
   if (worst >= 0)
-    m_state->overloads.Record(worker, worst, now);
+    m_overloads.Record(worker, worst, now);
 }
 
 }  // namespace fulmarrock
