Base: Add a function for the median

Cause: routing, the detection of slow targets and hedging each selected the median with the same two lines of iterator arithmetic.

Change: Median() in source/base/median.h replaces them. It returns the upper one of two values in the middle, as before.

--- a/source/entry/load_routing.cc
+++ b/source/entry/load_routing.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 #include <vector>
 
+#include "source/base/median.h"
+
 namespace fulmarrock {
 namespace {
 
@@ -41,9 +44,7 @@
     average.others += target->OthersInFlight();
   }
   average.others /= static_cast<double>(candidates.size());
-  const auto middle = times.begin() + static_cast<ptrdiff_t>(times.size() / 2);
-  std::nth_element(times.begin(), middle, times.end());
-  average.service_time = std::max(1.0, *middle);
+  average.service_time = std::max(1.0, Median(std::move(times)));
   return average;
 }
 
--- a/source/entry/outlier_detector.cc
+++ b/source/entry/outlier_detector.cc
@@ -1,6 +1,10 @@
 #include "source/entry/outlier_detector.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "source/base/median.h"
 
 namespace fulmarrock {
 namespace {
@@ -55,10 +59,9 @@
   // With fewer than three targets, the median does not show which is slow.
   if (times.size() < 3)
     return;
-  const auto middle = times.begin() + static_cast<ptrdiff_t>(times.size() / 2);
-  std::nth_element(times.begin(), middle, times.end());
+  const Millis median = Median(std::move(times));
   const double limit =
-      m_options.slow_factor * static_cast<double>(middle->count());
+      m_options.slow_factor * static_cast<double>(median.count());
   for (const Target* target : targets) {
     Record& record = m_records[target->node];
     const bool is_slow =
--- a/source/entry/request_dispatcher.cc
+++ b/source/entry/request_dispatcher.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "source/base/checksum.h"
+#include "source/base/median.h"
 #include "source/entry/target_subset.h"
 
 namespace fulmarrock {
@@ -296,10 +297,9 @@
     times.push_back(target->load.service_time);
   if (times.empty())
     return false;
-  const auto middle = times.begin() + static_cast<ptrdiff_t>(times.size() / 2);
-  std::nth_element(times.begin(), middle, times.end());
-  return *middle > Millis(0) && m_dependencies.clock.Now() - attempt.sent >=
-                                    *middle * m_options.hedge_factor;
+  const Millis median = Median(std::move(times));
+  return median > Millis(0) && m_dependencies.clock.Now() - attempt.sent >=
+                                   median * m_options.hedge_factor;
 }
 
 void RequestDispatcher::OnAttemptAnswered(RequestId attempt_id,
