Entry: Share the choice of a control member between the clients

Cause: ClaimClient and ConfigClient each kept the index of the member that they ask, moved it on after a missing answer, and had the same IsMember().

Change: MemberRotation holds the members and the current one for both.

--- a/source/entry/claim_client.cc
+++ b/source/entry/claim_client.cc
@@ -1,6 +1,5 @@
 #include "source/entry/claim_client.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace fulmarrock {
@@ -10,18 +9,19 @@
                          Transport& transport,
                          Counters& counters)
     : m_options(std::move(options)),
+      m_members(m_options.members),
       m_clock(clock),
       m_transport(transport),
       m_counters(counters) {}
 
 void ClaimClient::OnTick() {
-  if (m_options.members.empty())
+  if (m_members.IsEmpty())
     return;
   const bool has_resent_claim = ResendDue(m_claims);
   const bool has_resent_outcome = ResendDue(m_outcomes);
   // The member did not answer in time, so the next messages go to another one.
   if (has_resent_claim || has_resent_outcome)
-    m_member = (m_member + 1) % m_options.members.size();
+    m_members.MoveToNext();
 }
 
 void ClaimClient::Claim(const ClaimRequest& request) {
@@ -36,7 +36,7 @@
 
 bool ClaimClient::OnReply(const NodeId& from, const ClaimReply& reply) {
   const auto it = m_claims.find(reply.id);
-  if (!IsMember(from) || it == m_claims.end()) {
+  if (!m_members.Contains(from) || it == m_claims.end()) {
     m_counters.Add("claim_reply_dropped");
     return false;
   }
@@ -59,15 +59,10 @@
 }
 
 void ClaimClient::OnOutcomeAck(const NodeId& from, const ClaimOutcomeAck& ack) {
-  if (IsMember(from))
+  if (m_members.Contains(from))
     m_outcomes.erase(ack.id);
 }
 
-bool ClaimClient::IsMember(const NodeId& node) const {
-  return std::find(m_options.members.begin(), m_options.members.end(), node) !=
-         m_options.members.end();
-}
-
 template <typename T>
 bool ClaimClient::ResendDue(std::map<RequestId, Pending<T>>& pending) {
   bool has_resent = false;
@@ -83,8 +78,8 @@
 template <typename T>
 void ClaimClient::Send(Pending<T>& pending) {
   pending.next_send = m_clock.Now() + m_options.resend_interval;
-  if (!m_options.members.empty())
-    m_transport.Send(m_options.members[m_member], pending.message);
+  if (!m_members.IsEmpty())
+    m_transport.Send(m_members.current(), pending.message);
 }
 
 }  // namespace fulmarrock
--- a/source/entry/claim_client.h
+++ b/source/entry/claim_client.h
@@ -7,6 +7,7 @@
 
 #include "source/base/clock.h"
 #include "source/base/counters.h"
+#include "source/entry/member_rotation.h"
 #include "source/message/transport.h"
 
 namespace fulmarrock {
@@ -59,17 +60,16 @@
     Millis next_send;
   };
 
-  bool IsMember(const NodeId& node) const;
   template <typename T>
   bool ResendDue(std::map<RequestId, Pending<T>>& pending);
   template <typename T>
   void Send(Pending<T>& pending);
 
   Options m_options;
+  MemberRotation m_members;
   const Clock& m_clock;
   Transport& m_transport;
   Counters& m_counters;
-  size_t m_member = 0;
   std::map<RequestId, Pending<ClaimRequest>> m_claims;
   std::map<RequestId, Pending<ClaimOutcome>> m_outcomes;
 };
--- a/source/entry/config_client.cc
+++ b/source/entry/config_client.cc
@@ -1,6 +1,5 @@
 #include "source/entry/config_client.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace fulmarrock {
@@ -10,23 +9,24 @@
                            Transport& transport,
                            Counters& counters)
     : m_options(std::move(options)),
+      m_members(m_options.members),
       m_clock(clock),
       m_transport(transport),
       m_counters(counters),
       m_next_action(clock.Now()) {}
 
 void ConfigClient::OnTick() {
-  if (m_options.members.empty() || m_clock.Now() < m_next_action)
+  if (m_members.IsEmpty() || m_clock.Now() < m_next_action)
     return;
   if (m_is_awaiting_reply) {
     m_counters.Add("config_poll_unanswered");
-    m_member = (m_member + 1) % m_options.members.size();
+    m_members.MoveToNext();
   }
   Poll();
 }
 
 void ConfigClient::OnDelta(const NodeId& from, const ConfigDelta& delta) {
-  if (!IsMember(from))
+  if (!m_members.Contains(from))
     return;
   if (delta.changes.empty()) {
     m_is_awaiting_reply = false;
@@ -54,7 +54,7 @@
 
 void ConfigClient::OnSnapshot(const NodeId& from,
                               const ConfigSnapshot& snapshot) {
-  if (!IsMember(from))
+  if (!m_members.Contains(from))
     return;
   if (snapshot.version <= m_version) {
     m_counters.Add("config_copy_dropped");
@@ -64,15 +64,10 @@
   Accept(from, snapshot.version);
 }
 
-bool ConfigClient::IsMember(const NodeId& node) const {
-  return std::find(m_options.members.begin(), m_options.members.end(), node) !=
-         m_options.members.end();
-}
-
 void ConfigClient::Poll() {
   m_is_awaiting_reply = true;
   m_next_action = m_clock.Now() + m_options.reply_timeout;
-  m_transport.Send(m_options.members[m_member], ConfigPoll{m_version});
+  m_transport.Send(m_members.current(), ConfigPoll{m_version});
 }
 
 void ConfigClient::Accept(const NodeId& from, uint64_t version) {
--- a/source/entry/config_client.h
+++ b/source/entry/config_client.h
@@ -7,6 +7,7 @@
 
 #include "source/base/clock.h"
 #include "source/base/counters.h"
+#include "source/entry/member_rotation.h"
 #include "source/message/transport.h"
 
 namespace fulmarrock {
@@ -36,17 +37,16 @@
   const Configuration& configuration() const { return m_configuration; }
 
  private:
-  bool IsMember(const NodeId& node) const;
   void Poll();
   void Accept(const NodeId& from, uint64_t version);
 
   Options m_options;
+  MemberRotation m_members;
   const Clock& m_clock;
   Transport& m_transport;
   Counters& m_counters;
   Configuration m_configuration;
   uint64_t m_version = 0;
-  size_t m_member = 0;
   bool m_is_awaiting_reply = false;
   Millis m_next_action;
 };
