--- a/source/config/settings.cc
+++ b/source/config/settings.cc
@@ -221,6 +221,13 @@
 
 }  // namespace
 
+std::vector<NodeId> NodesOf(std::span<const PeerSettings> peers) {
+  std::vector<NodeId> nodes;
+  for (const PeerSettings& peer : peers)
+    nodes.push_back(peer.node);
+  return nodes;
+}
+
 Result<Settings> ParseSettings(std::string_view text) {
   const Result<nlohmann::json> document = ParseJson(text);
   if (!document)
--- a/source/config/settings.h
+++ b/source/config/settings.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,9 @@
   std::string http_address;
 };
 
+/// Returns the nodes of the peers, in the same order.
+std::vector<NodeId> NodesOf(std::span<const PeerSettings> peers);
+
 /// The target beside an agent.
 struct TargetSettings {
   std::string service;
--- a/source/daemon/agent_host.cc
+++ b/source/daemon/agent_host.cc
@@ -8,16 +8,6 @@
 #include "source/message/lease.h"
 
 namespace fulmarrock {
-namespace {
-
-std::vector<NodeId> NodesOf(const std::vector<PeerSettings>& peers) {
-  std::vector<NodeId> nodes;
-  for (const PeerSettings& peer : peers)
-    nodes.push_back(peer.node);
-  return nodes;
-}
-
-}  // namespace
 
 AgentHost::AgentHost(EventLoop& loop,
                      const Settings& settings,
--- a/source/daemon/control_host.cc
+++ b/source/daemon/control_host.cc
@@ -29,13 +29,6 @@
                  WorkerInstructions>(message);
 }
 
-std::vector<NodeId> NodesOf(const std::vector<PeerSettings>& peers) {
-  std::vector<NodeId> nodes;
-  for (const PeerSettings& peer : peers)
-    nodes.push_back(peer.node);
-  return nodes;
-}
-
 /// Returns the initial members if this node is one of them and bootstraps the
 /// group. A member that is added later starts without initial members.
 std::vector<NodeId> FindInitialMembers(const Settings& settings) {
