Bench: Read the CPU time of a thread in one place

Cause: four files of the benchmarks called clock_gettime() for the CPU time of the thread, three of them in microseconds and one in seconds.

Change: thread_cpu_time.h defines ThreadCpuMicros(); the measurement of the entry's overhead divides it.

--- a/bench/capacity/capacity_cluster.cc
+++ b/bench/capacity/capacity_cluster.cc
@@ -1,9 +1,8 @@
 #include "bench/capacity/capacity_cluster.h"
 
-#include <ctime>
-
 #include <utility>
 
+#include "bench/thread_cpu_time.h"
 #include "source/message/frame_codec.h"
 
 namespace fulmarrock::bench {
@@ -12,13 +11,6 @@
 constexpr int64_t kWorkerMillicores = 64'000;
 constexpr int64_t kWorkerMemoryMib = 256'000;
 
-double ThreadCpuMicroseconds() {
-  timespec time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) * 1e6 +
-         static_cast<double>(time.tv_nsec) / 1e3;
-}
-
 }  // namespace
 
 RoleUsage RoleUsage::operator-(const RoleUsage& other) const {
@@ -76,9 +68,9 @@
 
 template <typename Call>
 void CapacityCluster::Measure(RoleUsage& usage, Call call) {
-  const double begin = ThreadCpuMicroseconds();
+  const double begin = ThreadCpuMicros();
   call();
-  usage.cpu_us += ThreadCpuMicroseconds() - begin;
+  usage.cpu_us += ThreadCpuMicros() - begin;
 }
 
 void CapacityCluster::StartMembers() {
--- a/bench/control_bench.cc
+++ b/bench/control_bench.cc
@@ -1,5 +1,4 @@
 #include <malloc.h>
-#include <time.h>
 
 #include <algorithm>
 #include <chrono>
@@ -10,6 +9,7 @@
 #include <vector>
 
 #include "bench/benchmark.h"
+#include "bench/thread_cpu_time.h"
 #include "source/agent/task_runner.h"
 #include "source/base/seeded_random.h"
 #include "source/control/control_role.h"
@@ -40,13 +40,6 @@
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
-double ThreadCpuMicros() {
-  timespec now{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
-  return static_cast<double>(now.tv_sec) * 1e6 +
-         static_cast<double>(now.tv_nsec) / 1e3;
-}
-
 size_t HeapBytes() {
   const struct mallinfo2 info = mallinfo2();
   return info.uordblks + info.hblkhd;
--- a/bench/entry_overhead_bench.cc
+++ b/bench/entry_overhead_bench.cc
@@ -1,5 +1,3 @@
-#include <time.h>
-
 #include <algorithm>
 #include <chrono>
 #include <condition_variable>
@@ -12,6 +10,7 @@
 #include <vector>
 
 #include "bench/benchmark.h"
+#include "bench/thread_cpu_time.h"
 #include "source/agent/agent_role.h"
 #include "source/agent/request_server.h"
 #include "source/base/seeded_random.h"
@@ -41,16 +40,9 @@
   std::exit(1);
 }
 
-double ThreadCpuSeconds() {
-  timespec time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) +
-         static_cast<double>(time.tv_nsec) / 1e9;
-}
-
 double LoopThreadCpuSeconds(LoopThread& thread) {
   double seconds = 0;
-  thread.RunAndWait([&] { seconds = ThreadCpuSeconds(); });
+  thread.RunAndWait([&] { seconds = ThreadCpuMicros() / 1e6; });
   return seconds;
 }
 
--- a/bench/log_bench.cc
+++ b/bench/log_bench.cc
@@ -2,13 +2,13 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
-#include <ctime>
 #include <filesystem>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "bench/benchmark.h"
+#include "bench/thread_cpu_time.h"
 #include "source/base/seeded_random.h"
 #include "source/base/steady_clock.h"
 #include "source/consensus/consensus_node.h"
@@ -39,14 +39,6 @@
       std::chrono::steady_clock::now();
 };
 
-/// CPU time of this thread, in microseconds.
-double ThreadCpuMicros() {
-  timespec time{};
-  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
-  return static_cast<double>(time.tv_sec) * 1e6 +
-         static_cast<double>(time.tv_nsec) / 1e3;
-}
-
 /// Exits on an error, since measurements after a failure would be misleading.
 template <typename T>
 T Require(Result<T> result) {
