Bench: Share the configuration with an unlimited plan

Cause: three benchmarks built the same plan with a quota that is never reached.

Change: MakeUnlimitedConfiguration() returns it for the given customers.

--- a/bench/colocation_bench.cc
+++ b/bench/colocation_bench.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "bench/benchmark.h"
+#include "bench/unlimited_plan.h"
 #include "source/agent/latency_window.h"
 #include "source/agent/throttle_controller.h"
 #include "source/base/seeded_random.h"
@@ -197,13 +198,7 @@
         m_largest_slowdown(largest_slowdown) {
     m_clock.Set(Millis::FromSeconds(1'000));
     m_start = m_clock.Now();
-    Configuration configuration;
-    Plan plan;
-    plan.name = "p";
-    plan.quota = {Resources::kMaxAmount, Resources::kMaxAmount, 0};
-    configuration.plans.push_back(plan);
-    configuration.customers.push_back({"c", "p"});
-    m_scheduler.SetConfiguration(configuration);
+    m_scheduler.SetConfiguration(MakeUnlimitedConfiguration({"c"}));
     for (size_t i = 0; i < m_services.size(); ++i) {
       m_services[i].name = kServices[i];
       m_services[i].customer = "c";
--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "bench/benchmark.h"
+#include "bench/unlimited_plan.h"
 #include "source/base/seeded_random.h"
 #include "source/placement/fair_scheduler.h"
 
@@ -215,13 +216,7 @@
 /// fails.
 double WorstRackShare(FairScheduler::PolicyFactory policies) {
   FairScheduler scheduler(std::move(policies));
-  Configuration configuration;
-  Plan plan;
-  plan.name = "p";
-  plan.quota = {Resources::kMaxAmount, Resources::kMaxAmount, 0};
-  configuration.plans.push_back(plan);
-  configuration.customers.push_back({"c", "p"});
-  scheduler.SetConfiguration(configuration);
+  scheduler.SetConfiguration(MakeUnlimitedConfiguration({"c"}));
   std::unordered_map<NodeId, std::string> racks;
   for (int i = 0; i < 44; ++i) {
     const std::string data_centre = "d" + std::to_string(i / 11);
--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "bench/benchmark.h"
+#include "bench/unlimited_plan.h"
 #include "source/base/seeded_random.h"
 #include "source/placement/fair_scheduler.h"
 #include "source/placement/packing_placement.h"
@@ -22,13 +23,8 @@
  public:
   explicit PolicyLoad(FairScheduler::PolicyFactory policies)
       : m_scheduler(std::move(policies)) {
-    Configuration configuration;
-    Plan plan;
-    plan.name = "p";
-    plan.quota = {Resources::kMaxAmount, Resources::kMaxAmount, 0};
-    configuration.plans.push_back(plan);
-    configuration.customers = {{"heavy", "p"}, {"light", "p"}};
-    m_scheduler.SetConfiguration(configuration);
+    m_scheduler.SetConfiguration(
+        MakeUnlimitedConfiguration({"heavy", "light"}));
     for (int i = 0; i < 11; ++i)
       m_scheduler.UpsertWorker({"w" + std::to_string(i),
                                 "d" + std::to_string(i % 4),
