Workflow: Give up a task that crashes the workers that start it

Cause: only runs that a worker lists as failed counted as attempts. A run that ended with its worker was released and started again without a limit.

Change: the agent reports which runs a crash of its worker ended, and which had started less than 300 ms before the connection broke. The replicated state counts both for each task and fails the workflow at two crashes right after a start (three for long-running tasks) or five at any time. A task with one such crash starts alone, so that the next one tells the cause from its neighbours.

--- a/source/agent/run_client.h
+++ b/source/agent/run_client.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include <tl/expected.hpp>
+
 #include "source/base/millis.h"
 #include "source/message/workflow.h"
 
@@ -72,6 +74,12 @@
   uint64_t fencing_token = 0;
 };
 
+/// Why a poll got no usable response.
+enum class PollFailure : uint8_t {
+  kNoResponse,      ///< None arrived in time, or it is malformed.
+  kConnectionLost,  ///< The connection broke, or none can be opened.
+};
+
 /// A request to start a run.
 struct StartRequest {
   TaskName task;
@@ -89,7 +97,8 @@
  public:
   using StartDone = std::function<void(const StartResponse&)>;
   using StopDone = std::function<void(bool has_response)>;
-  using PollDone = std::function<void(const std::optional<PollResponse>&)>;
+  using PollDone =
+      std::function<void(const tl::expected<PollResponse, PollFailure>&)>;
 
   virtual ~RunClient() = default;
 
--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -25,6 +25,10 @@
   RunStage stage = RunStage::kStarting;
   /// When the stage began.
   Millis since;
+  /// When the start was requested, or the run was found on the worker.
+  Millis started_at;
+  /// Whether the worker confirmed the start or listed the run.
+  bool is_confirmed = false;
   /// The start instruction from control; empty for a run that was found on the
   /// worker after a restart of the agent.
   StartInstruction instruction;
--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -63,6 +63,7 @@
     const bool is_draining = m_worker->is_draining || announcement.is_draining;
     m_worker = announcement;
     m_worker->is_draining = is_draining;
+    m_lost_runs.OnWorkerResponsive();
   } else {
     const bool is_older =
         m_worker && announcement.worker_incarnation.start_time_unix_ms <=
@@ -91,6 +92,9 @@
   const bool has_same_id = m_worker && m_worker->worker_incarnation.id ==
                                            announcement.worker_incarnation.id;
   m_unconfirmed_starts.OnNewWorkerIncarnation(m_runs, now);
+  // The runs of a worker that was draining ended as planned.
+  if (!is_first && !m_worker->is_draining && !m_is_deregistered)
+    m_lost_runs.OnCrash(m_runs, now);
   m_worker = announcement;
   m_is_deregistered = false;
   m_is_lease_expired = false;
@@ -215,6 +219,7 @@
   local.instruction = instruction;
   local.has_instruction = true;
   local.since = m_clock.Now();
+  local.started_at = local.since;
   local.progress_at = local.since;
   StartRun(instruction.task);
 }
@@ -268,6 +273,7 @@
       local.stage = RunStage::kRunning;
       local.since = now;
       local.progress_at = now;
+      local.is_confirmed = true;
       m_newly_confirmed.push_back({task, run});
       m_is_report_urgent = true;
       m_speed_limiter.Send(m_term);
@@ -410,18 +416,19 @@
   request.fencing_token = m_term;
   m_is_polling = true;
   const bool has_no_earlier_starts = !m_unconfirmed_starts.HasEarlierStarts();
-  m_client.Poll(request, [this, now, has_no_earlier_starts,
-                          incarnation_number = m_incarnation_number](
-                             const std::optional<PollResponse>& response) {
-    if (incarnation_number == m_incarnation_number)
-      OnPollResponse(now, has_no_earlier_starts, response);
-  });
+  m_client.Poll(request,
+                [this, now, has_no_earlier_starts,
+                 incarnation_number = m_incarnation_number](
+                    const tl::expected<PollResponse, PollFailure>& response) {
+                  if (incarnation_number == m_incarnation_number)
+                    OnPollResponse(now, has_no_earlier_starts, response);
+                });
 }
 
 void WorkflowRunner::OnPollResponse(
     Millis sent_at,
     bool has_no_earlier_starts,
-    const std::optional<PollResponse>& response) {
+    const tl::expected<PollResponse, PollFailure>& response) {
   const Millis now = m_clock.Now();
   m_is_polling = false;
   m_has_last_poll_response = response.has_value();
@@ -429,6 +436,8 @@
   m_next_poll = now + (response ? kMinPollPause : kPollRetryDelay);
   if (!response) {
     m_counters.Add("agent_unanswered_looks");
+    if (response.error() == PollFailure::kConnectionLost)
+      m_lost_runs.OnConnectionLost(now);
     return;
   }
   // Another incarnation with the same worker id responded. It will announce
@@ -441,6 +450,7 @@
   }
   m_last_contact = now;
   m_is_lease_expired = false;
+  m_lost_runs.OnWorkerResponsive();
   m_lease.OnWorkerClock(response->worker_clock, now);
   m_has_listed_ends = !response->ended.empty();
   ProcessEndedRuns(*response);
@@ -462,6 +472,7 @@
   for (const EndedRun& listed_run : response.ended) {
     if (listed_run.number <= m_events.last_end())
       continue;
+    m_lost_runs.Remove(listed_run.task, listed_run.run);
     EndRun(listed_run.task, listed_run.run, listed_run.kind,
            listed_run.checkpoint, listed_run.number);
   }
@@ -473,6 +484,7 @@
   std::set<TaskName> listed_runs;
   for (const RunStatus& listed_run : response.running) {
     listed_runs.insert(listed_run.task);
+    m_lost_runs.Remove(listed_run.task, listed_run.run);
     const auto [it, is_new] = m_runs.try_emplace(listed_run.task);
     LocalRun& local = it->second;
     if (!is_new && local.run != listed_run.run)
@@ -485,6 +497,8 @@
       local.stage = RunStage::kRunning;
       local.since = now;
       local.progress_at = now;
+      if (is_new)
+        local.started_at = now;
       // A run found after a restart of the agent may have any speed limit.
       if (is_new)
         local.speed_limit_percent = -1;
@@ -492,6 +506,7 @@
       m_is_report_urgent = true;
     }
     UpdateProgress(local, listed_run.percent, now);
+    local.is_confirmed = true;
   }
   ResolveUnlistedRuns(listed_runs, sent_at);
 }
@@ -545,6 +560,8 @@
                         .With("life", m_worker->worker_incarnation.id)
                         .With("silent_ms", m_clock.Now() - m_last_contact)
                         .With("runs", static_cast<int64_t>(m_runs.size())));
+  if (!m_is_deregistered)
+    m_lost_runs.OnLeaseExpired(m_runs);
   m_runs.clear();
 }
 
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "source/agent/lost_runs.h"
 #include "source/agent/run_client.h"
 #include "source/agent/run_table.h"
 #include "source/agent/speed_limiter.h"
@@ -105,7 +106,7 @@
   /// incarnation had been stopped when the poll was sent.
   void OnPollResponse(Millis sent_at,
                       bool has_no_earlier_starts,
-                      const std::optional<PollResponse>& response);
+                      const tl::expected<PollResponse, PollFailure>& response);
   void ProcessEndedRuns(const PollResponse& response);
   void ProcessListedRuns(const PollResponse& response, Millis sent_at);
   void ResolveUnlistedRuns(const std::set<TaskName>& listed_runs,
@@ -143,6 +144,7 @@
   // A new worker incarnation is reported to control only when no start that was
   // meant for an earlier one can execute in it any more.
   UnconfirmedStarts m_unconfirmed_starts;
+  LostRuns m_lost_runs;
 
   // Counts worker incarnations. Responses to requests that were sent to an
   // earlier one are dropped.
--- a/source/agent/workflow_runner_reports.cc
+++ b/source/agent/workflow_runner_reports.cc
@@ -85,6 +85,7 @@
   if (IsWorkerReachable())
     report.stalled_runs = FindStalledRuns(m_runs, now);
   m_speed_limiter.AddSamples(report);
+  report.lost_runs = m_lost_runs.ToReport(now);
   return report;
 }
 
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -165,8 +165,8 @@
   const bool may_register =
       report.is_accepting_runs && !is_proposed && !has_ends && !must_stop_first;
   if (may_register)
-    next.workers.push_back(
-        {link.agent(), report.worker_incarnation, report.attributes});
+    next.workers.push_back({link.agent(), report.worker_incarnation,
+                            report.attributes, report.lost_runs});
   SendInstructions(link, true, now);
 }
 
--- a/source/message/workflow_messages.h
+++ b/source/message/workflow_messages.h
@@ -111,6 +111,20 @@
   }
 };
 
+/// A run that ended because its worker crashed.
+struct LostRun {
+  TaskName task;
+  RunNumber run = 0;
+  /// Whether the worker confirmed the start and crashed so soon afterwards that
+  /// the run may be the cause.
+  bool has_just_started = false;
+
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self& self, Visitor& visitor) {
+    visitor(self.task, self.run, self.has_just_started);
+  }
+};
+
 /// A run without progress for a time that is long compared with its estimate.
 struct StalledRun {
   TaskName task;
@@ -191,6 +205,8 @@
   std::vector<LatencyCriticalSample> latency_critical_samples;
   std::vector<BestEffortSample> best_effort_samples;
   bool has_samples = false;
+  /// Runs of the agent's earlier worker if that crashed recently.
+  std::vector<LostRun> lost_runs;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
@@ -198,7 +214,7 @@
             self.attributes, self.is_accepting_runs, self.all_runs_ended,
             self.is_full_report, self.listed_runs, self.stored_sequence,
             self.events, self.stalled_runs, self.latency_critical_samples,
-            self.best_effort_samples, self.has_samples);
+            self.best_effort_samples, self.has_samples, self.lost_runs);
   }
 };
 
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -191,6 +191,7 @@
   }
   response.kind = transfer.was_sent ? HttpClientResponse::Kind::kLost
                                     : HttpClientResponse::Kind::kNotSent;
+  response.is_timeout = code == CURLE_OPERATION_TIMEDOUT;
   response.status = 0;
   response.body.clear();
   response.error = transfer.is_too_large
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -34,6 +34,8 @@
     kLost,  ///< It may have been processed, but no complete response arrived.
   };
   Kind kind = Kind::kLost;
+  /// Whether it failed because the time was up.
+  bool is_timeout = false;
   int status = 0;
   std::string body;
   /// Describes the failure, unless `kind` is kAnswered.
--- a/source/workflow/run_placement.h
+++ b/source/workflow/run_placement.h
@@ -34,6 +34,9 @@
   /// Whether the task has been pending so long that any worker with free
   /// capacity is acceptable.
   bool is_starving = false;
+  /// Whether a worker crashed right after the task started there, so that no
+  /// other run should start beside it.
+  bool may_crash_worker = false;
 };
 
 /// Chooses the worker for one task.
--- a/source/workflow/workflow_commands.h
+++ b/source/workflow/workflow_commands.h
@@ -56,10 +56,13 @@
   NodeId agent;
   WorkerIncarnation worker_incarnation;
   WorkerAttributes attributes;
+  /// Runs that the agent's earlier worker had when it crashed.
+  std::vector<LostRun> lost_runs;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
-    visitor(self.agent, self.worker_incarnation, self.attributes);
+    visitor(self.agent, self.worker_incarnation, self.attributes,
+            self.lost_runs);
   }
 };
 
--- a/source/workflow/workflow_record.h
+++ b/source/workflow/workflow_record.h
@@ -31,11 +31,18 @@
   std::string checkpoint;
   /// When the task entered its stage, in replicated time.
   Millis since;
+  /// Workers that crashed right after a run of this task started there.
+  uint32_t startup_crashes = 0;
+  /// Workers that crashed while a run of this task was active there.
+  uint32_t worker_crashes = 0;
+  /// Last run that a crash ended, which the counts include.
+  RunNumber crashed_run = 0;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.stage, self.run, self.failed_runs, self.worker,
-            self.checkpoint, self.since);
+            self.checkpoint, self.since, self.startup_crashes,
+            self.worker_crashes, self.crashed_run);
   }
 };
 
--- a/source/workflow/workflow_scheduler.cc
+++ b/source/workflow/workflow_scheduler.cc
@@ -12,6 +12,14 @@
 /// After this time a task of a workflow without active runs is placed wherever
 /// there is free capacity.
 constexpr Millis kStarvingAfter{1'500};
+
+/// No other run starts on a worker for this time after one of a task that may
+/// crash it, so that the next crash shows which task is the cause.
+constexpr Millis kExclusiveStartTime{300};
+
+/// A worker that was registered less than this time ago may have replaced one
+/// that crashed, and may crash again for the same reason.
+constexpr Millis kRecentRegistration{5'000};
 /// While less than this percentage of a service's CPU is allocated, every
 /// workflow has to make progress.
 constexpr int64_t kLightLoadPercent = 60;
@@ -28,6 +36,8 @@
   m_health.Clear();
   m_allocations.clear();
   m_no_capacity_until.clear();
+  m_no_other_start_until.clear();
+  m_registered_at.clear();
   for (const auto& [number, worker] : m_state.workers()) {
     WorkerAllocation& allocation = GetOrAddAllocation(number);
     for (const TaskName& task : m_state.RunsOf(number))
@@ -58,9 +68,13 @@
   }
   for (const WorkflowKey key : effects.ended)
     m_health.OnWorkflowEnded(key);
+  for (const WorkerNumber worker : effects.registered)
+    m_registered_at[worker] = now;
   for (const WorkerNumber worker : effects.removed) {
+    m_registered_at.erase(worker);
     m_allocations.erase(worker);
     m_no_capacity_until.erase(worker);
+    m_no_other_start_until.erase(worker);
     m_health.Remove(worker);
   }
 }
@@ -92,7 +106,7 @@
     if (plan.size() >= limit)
       break;
     if (step.spec().is_gang)
-      m_blocked_steps += PlaceGang(step, candidates, plan) ? 0 : 1;
+      m_blocked_steps += PlaceGang(step, time, candidates, plan) ? 0 : 1;
     else
       PlaceStep(step, time, candidates, plan, limit);
   }
@@ -137,8 +151,10 @@
   for (const auto& [number, status] : workers) {
     const WorkerEntry* entry = m_state.FindWorker(number);
     const auto pause = m_no_capacity_until.find(number);
+    const auto exclusive = m_no_other_start_until.find(number);
     const bool is_paused =
-        pause != m_no_capacity_until.end() && now < pause->second;
+        (pause != m_no_capacity_until.end() && now < pause->second) ||
+        (exclusive != m_no_other_start_until.end() && now < exclusive->second);
     if (!entry || !status.is_accepting_runs || is_paused ||
         !m_health.IsUsable(number, now)) {
       continue;
@@ -181,7 +197,9 @@
     request.is_starving = is_lightly_loaded && ready.workflow->active == 0 &&
                           !has_placed_task &&
                           time.replicated - tasks[i].since > kStarvingAfter;
-    const std::optional<size_t> position = ChooseFor(request, candidates);
+    request.may_crash_worker = tasks[i].startup_crashes > 0;
+    const std::optional<size_t> position =
+        ChooseFor(request, candidates, time.now);
     if (!position) {
       ++m_blocked_steps;
       // The other tasks of the step have the same requirements. Only a task
@@ -190,12 +208,13 @@
         return;
       continue;
     }
-    AddToPlan(request, *position, tasks[i].run + 1, candidates, plan);
+    AddToPlan(request, *position, tasks[i].run + 1, time, candidates, plan);
     has_placed_task = true;
   }
 }
 
 bool WorkflowScheduler::PlaceGang(const ReadyStep& ready,
+                                  const PlanningTime& time,
                                   std::vector<WorkerCandidate>& candidates,
                                   std::vector<AssignRun>& plan) {
   const auto& tasks = ready.state().tasks;
@@ -212,9 +231,11 @@
   request.service = ready.queue->service;
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     request.task = {ready.workflow->spec.key, ready.occurrence, ready.step, i};
-    const std::optional<size_t> position = ChooseFor(request, candidates);
+    request.may_crash_worker = tasks[i].startup_crashes > 0;
+    const std::optional<size_t> position =
+        ChooseFor(request, candidates, time.now);
     if (position) {
-      AddToPlan(request, *position, run, candidates, plan);
+      AddToPlan(request, *position, run, time, candidates, plan);
       continue;
     }
     while (plan.size() > begin) {
@@ -229,14 +250,14 @@
 
 std::optional<size_t> WorkflowScheduler::ChooseFor(
     const RunRequest& request,
-    std::span<const WorkerCandidate> candidates) {
-  if (!m_health.HasFailed(request.task))
+    std::span<const WorkerCandidate> candidates,
+    Millis now) {
+  if (!m_health.HasFailed(request.task) && !request.may_crash_worker)
     return m_placement.Choose(request, candidates);
-  // A task that failed on a worker is placed on another one if there is any.
   std::vector<WorkerCandidate> others;
   std::vector<size_t> positions;
   for (size_t i = 0; i < candidates.size(); ++i) {
-    if (m_health.HasFailedOn(request.task, candidates[i].number))
+    if (ShouldAvoid(request, candidates[i].number, now))
       continue;
     others.push_back(candidates[i]);
     positions.push_back(i);
@@ -256,15 +277,28 @@
   return m_placement.Choose(request, candidates);
 }
 
+bool WorkflowScheduler::ShouldAvoid(const RunRequest& request,
+                                    WorkerNumber worker,
+                                    Millis now) const {
+  if (m_health.HasFailedOn(request.task, worker))
+    return true;
+  const auto it = m_registered_at.find(worker);
+  return request.may_crash_worker && it != m_registered_at.end() &&
+         now - it->second < kRecentRegistration;
+}
+
 void WorkflowScheduler::AddToPlan(const RunRequest& request,
                                   size_t position,
                                   RunNumber run,
+                                  const PlanningTime& time,
                                   std::vector<WorkerCandidate>& candidates,
                                   std::vector<AssignRun>& plan) {
   WorkerCandidate& candidate = candidates[position];
   candidate.allocation->Add(request.task, *request.step);
   plan.push_back({request.task, run, candidate.number});
-  if (candidate.is_probe)
+  if (request.may_crash_worker)
+    m_no_other_start_until[candidate.number] = time.now + kExclusiveStartTime;
+  if (candidate.is_probe || request.may_crash_worker)
     candidates.erase(candidates.begin() + static_cast<ptrdiff_t>(position));
 }
 
@@ -295,7 +329,8 @@
       request.task = task;
       request.step = &step;
       request.service = m_state.QueueOf(*m_state.Find(task.workflow)).service;
-      const std::optional<size_t> position = ChooseFor(request, candidates);
+      const std::optional<size_t> position =
+          ChooseFor(request, candidates, time.now);
       if (!position || candidates[*position].number == number)
         continue;
       // Allocated so that the next move does not count on the same capacity.
--- a/source/workflow/workflow_scheduler.h
+++ b/source/workflow/workflow_scheduler.h
@@ -103,13 +103,20 @@
                  std::vector<AssignRun>& plan,
                  size_t limit);
   bool PlaceGang(const ReadyStep& ready,
+                 const PlanningTime& time,
                  std::vector<WorkerCandidate>& candidates,
                  std::vector<AssignRun>& plan);
   std::optional<size_t> ChooseFor(const RunRequest& request,
-                                  std::span<const WorkerCandidate> candidates);
+                                  std::span<const WorkerCandidate> candidates,
+                                  Millis now);
+  /// Whether a task should get another worker than this one if there is any.
+  bool ShouldAvoid(const RunRequest& request,
+                   WorkerNumber worker,
+                   Millis now) const;
   void AddToPlan(const RunRequest& request,
                  size_t position,
                  RunNumber run,
+                 const PlanningTime& time,
                  std::vector<WorkerCandidate>& candidates,
                  std::vector<AssignRun>& plan);
   WorkerAllocation& GetOrAddAllocation(WorkerNumber worker);
@@ -123,6 +130,10 @@
   WorkerHealth m_health;
   std::map<WorkerNumber, WorkerAllocation> m_allocations;
   std::map<WorkerNumber, Millis> m_no_capacity_until;
+  // When workers were registered, as far as this leader saw it.
+  std::map<WorkerNumber, Millis> m_registered_at;
+  // Workers on which a task starts that may have crashed an earlier one.
+  std::map<WorkerNumber, Millis> m_no_other_start_until;
   size_t m_blocked_steps = 0;
   // Services with little CPU allocated at the begin of the planning round.
   std::map<std::string, bool, std::less<>> m_lightly_loaded;
--- a/source/workflow/workflow_state.cc
+++ b/source/workflow/workflow_state.cc
@@ -8,6 +8,15 @@
 
 const std::set<TaskName> kNoRuns;
 
+/// A task counts as the cause when this many workers crashed right after it
+/// started there. A long-running task meets more crashes that it did not cause.
+constexpr uint32_t kMaxStartupCrashes = 2;
+constexpr uint32_t kMaxStartupCrashesOfLongRunning = 3;
+
+/// A task that completes counts as the cause when this many workers crashed
+/// while it ran there.
+constexpr uint32_t kMaxWorkerCrashes = 5;
+
 std::string RouteOf(const QueueSettings& queue) {
   return queue.host + "\n" + queue.path_prefix;
 }
@@ -73,6 +82,8 @@
     return;
   if (known)
     Release({known->number, true}, effects);
+  for (const LostRun& lost : command.lost_runs)
+    CountCrash(lost, effects);
   WorkerEntry entry;
   entry.number = ++m_last_worker;
   entry.agent = command.agent;
@@ -184,6 +195,35 @@
   effects.removed.push_back(command.worker);
 }
 
+void WorkflowState::CountCrash(const LostRun& lost, WorkflowEffects& effects) {
+  WorkflowRecord* workflow = FindMutable(lost.task.workflow);
+  if (!workflow || !FindTask(lost.task))
+    return;
+  WorkflowTask& task = workflow->occurrences[lost.task.occurrence]
+                           .steps[lost.task.step]
+                           .tasks[lost.task.index];
+  // A crash may be reported again, and after the task runs elsewhere.
+  if (lost.run <= task.crashed_run || lost.run > task.run ||
+      task.stage == TaskStage::kDone) {
+    return;
+  }
+  task.crashed_run = lost.run;
+  ++task.worker_crashes;
+  if (lost.has_just_started)
+    ++task.startup_crashes;
+  const bool is_long_running =
+      workflow->spec.steps[lost.task.step].is_long_running;
+  const uint32_t max_startup_crashes =
+      is_long_running ? kMaxStartupCrashesOfLongRunning : kMaxStartupCrashes;
+  const bool is_cause =
+      task.startup_crashes >= max_startup_crashes ||
+      (!is_long_running && task.worker_crashes >= kMaxWorkerCrashes);
+  if (!is_cause)
+    return;
+  End(*workflow, WorkflowPhase::kFailed, effects);
+  CloseIfEnded(*workflow);
+}
+
 void WorkflowState::Submit(const SubmitWorkflow& command,
                            WorkflowEffects& effects) {
   CommandResult result{command.token, WorkflowReplyKind::kAccepted};
--- a/source/workflow/workflow_state.h
+++ b/source/workflow/workflow_state.h
@@ -133,6 +133,9 @@
   void Record(const RecordEvents& command, WorkflowEffects& effects);
   void RecordEvent(const RunEvent& event, WorkflowEffects& effects);
   void Release(const ReleaseWorker& command, WorkflowEffects& effects);
+  /// Counts the crash of a worker for a task that ran there, and fails the
+  /// workflow of a task that crashes its workers.
+  void CountCrash(const LostRun& lost, WorkflowEffects& effects);
   void Submit(const SubmitWorkflow& command, WorkflowEffects& effects);
   void Cancel(const CancelWorkflow& command, WorkflowEffects& effects);
   void Assign(const AssignRun& command, WorkflowEffects& effects);
--- a/tests/support/fake_run_worker.h
+++ b/tests/support/fake_run_worker.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
   Millis end;
   bool has_ended = false;
   RunOutcome kind = RunOutcome::kDone;
+  /// Whether a crash of the worker ended the run.
+  bool is_crashed = false;
   /// Whether the worker's lease expired between the end and its
   /// acknowledgement. Its agent may have released the run then.
   bool is_lease_expired = false;
@@ -52,6 +55,9 @@
   /// Discards the responses that the crashed agent waited for.
   void DisconnectAgent();
 
+  /// Ends everything that runs, and the worker until it is back.
+  void Crash();
+
   /// Ends runs that are due to end and responds to requests.
   void Step();
 
@@ -81,6 +87,12 @@
   /// Time from a stop request, which is confirmed at once, to the end of the
   /// run.
   Millis stop_time{200};
+  /// Tasks whose runs crash the worker `crash_delay` after their start. It is
+  /// back as a new worker `restart_delay` later.
+  std::set<TaskName> crashing_tasks;
+  Millis crash_delay{10};
+  Millis restart_delay{3'000};
+  size_t crash_count = 0;
   uint64_t acknowledged_ends = 0;
   std::map<TaskName, int64_t> speed_limits;
 
@@ -128,6 +140,8 @@
   std::vector<Delayed> m_delayed_starts;
   std::vector<Delayed> m_responses;
   std::vector<PendingPoll> m_polls;
+  std::optional<Millis> m_crash_at;
+  std::optional<Millis> m_restart_at;
   uint64_t m_end_count = 0;
   uint64_t m_incarnation_number = 0;
   Millis m_lease_deadline;
--- a/tests/support/workflow_cluster.cc
+++ b/tests/support/workflow_cluster.cc
@@ -116,6 +116,18 @@
   agent.runner->OnAnnouncement(announcement);
 }
 
+void WorkflowCluster::SetCrashingTask(const TaskName& task) {
+  for (auto& agent : agents)
+    agent->worker.crashing_tasks.insert(task);
+}
+
+size_t WorkflowCluster::CountWorkerCrashes() const {
+  size_t count = 0;
+  for (const auto& agent : agents)
+    count += agent->worker.crash_count;
+  return count;
+}
+
 void WorkflowCluster::ChangeLeader(size_t index) {
   log.ChangeLeader(members[index]->node);
 }
@@ -239,6 +251,16 @@
                      });
 }
 
+bool WorkflowCluster::HasCrashedTwice(WorkflowKey key) const {
+  std::map<TaskName, size_t> crashes;
+  for (const Execution& execution : Executions()) {
+    if (execution.task.workflow == key && execution.is_crashed)
+      ++crashes[execution.task];
+  }
+  return std::any_of(crashes.begin(), crashes.end(),
+                     [](const auto& item) { return item.second >= 2; });
+}
+
 std::string WorkflowCluster::FindViolation() const {
   std::map<TaskName, std::vector<Execution>> by_task;
   for (const Execution& execution : Executions())
--- a/tests/support/workflow_cluster.h
+++ b/tests/support/workflow_cluster.h
@@ -44,6 +44,10 @@
   /// Advances the time in steps of one tick.
   void Run(Millis duration);
 
+  /// Makes the runs of a task crash each worker that starts it.
+  void SetCrashingTask(const TaskName& task);
+  size_t CountWorkerCrashes() const;
+
   void CrashMember(size_t index);
   void StartMember(size_t index);
   void CrashAgent(size_t index);
@@ -70,6 +74,10 @@
   /// worker, a step before its dependencies.
   std::string FindViolation() const;
 
+  /// Whether a workflow may fail because two workers or more crashed while one
+  /// of its tasks ran there.
+  bool HasCrashedTwice(WorkflowKey key) const;
+
   ManualClock clock;
   SeededRandom random;
   FakeNetwork network;
