Control: Place by the capacity that a worker reports

What callers would see: starts that bring a worker without admission control over its capacity after it shrank, and pending work beside a worker that grew.

Cause: the leader placed by the capacity with which a worker registered. The agent passes the attributes of each announcement on in its reports, but a changed capacity did not make a report urgent, and control did not read it.

Change: a change of capacity sends a report at once, and placement sets the capacity of each worker's allocation from its latest report. Leader-volatile state suffices: a leader without a recent report of a worker places nothing there, and the capacity comes with that report. So the replicated record keeps the capacity of the registration. After Rebuild() or Restore() it is only the initial value of an allocation, which the light-load rule, the load log and the state dump read for workers that have not reported yet. Leases do not depend on the capacity.

Runs over a shrunk capacity are not stopped: the rule forbids starts only, and a stop discards work that may well complete. No run starts until the remaining ones, with those that are being stopped, leave room.

Result: the fake worker records starts that exceed its announced capacity, and FindViolation() reports them in every test of the workflow cluster.

--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -54,6 +54,8 @@
     if (announcement.sequence <= m_worker->sequence || m_is_deregistered)
       return false;
     m_is_report_urgent |= announcement.is_draining != m_worker->is_draining;
+    if (announcement.attributes.capacity() != m_worker->attributes.capacity())
+      OnCapacityChange(announcement);
     if (announcement.is_draining && !m_worker->is_draining) {
       m_decisions.Write(DecisionLine("worker_leaving")
                             .With("life", announcement.worker_incarnation.id)
@@ -78,6 +80,16 @@
   return true;
 }
 
+void WorkflowRunner::OnCapacityChange(const WorkerAnnouncement& announcement) {
+  m_is_report_urgent = true;
+  m_decisions.Write(
+      DecisionLine("worker_capacity_changed")
+          .With("life", announcement.worker_incarnation.id)
+          .With("cpu_millicores", announcement.attributes.cpu_millicores)
+          .With("memory_mib", announcement.attributes.memory_mib)
+          .With("accelerators", announcement.attributes.accelerators));
+}
+
 void WorkflowRunner::AdoptWorkerIncarnation(
     const WorkerAnnouncement& announcement) {
   const Millis now = m_clock.Now();
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -80,6 +80,9 @@
 
  private:
   void AdoptWorkerIncarnation(const WorkerAnnouncement& announcement);
+  /// The worker announces a capacity that differs from the last one. Control
+  /// has to learn of it before it places the next run there.
+  void OnCapacityChange(const WorkerAnnouncement& announcement);
   void OnInstructions(const NodeId& from,
                       const WorkerInstructions& instructions);
   void OnStartInstruction(const StartInstruction& instruction);
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -310,7 +310,8 @@
     }
     statuses[link.worker()] = {
         report.is_accepting_runs && !report.all_runs_ended,
-        link.latency_critical_samples(), link.best_effort_samples()};
+        report.attributes.capacity(), link.latency_critical_samples(),
+        link.best_effort_samples()};
   }
   return statuses;
 }
--- a/source/message/workflow.h
+++ b/source/message/workflow.h
@@ -215,7 +215,8 @@
   }
 };
 
-/// Attributes of a worker, which do not change during one incarnation.
+/// Attributes of a worker. During one incarnation only the capacity changes: it
+/// may shrink and grow again at any time.
 struct WorkerAttributes {
   std::string service;
   std::string data_centre;
--- a/source/workflow/worker_allocation.h
+++ b/source/workflow/worker_allocation.h
@@ -17,6 +17,10 @@
   explicit WorkerAllocation(const WorkerAttributes& attributes)
       : m_capacity(attributes.capacity()) {}
 
+  /// Changes the capacity. It may be less than what is allocated; then nothing
+  /// fits.
+  void SetCapacity(const Resources& capacity) { m_capacity = capacity; }
+
   void Add(const TaskName& task, const StepSpec& step) { Count(task, step, 1); }
   void Remove(const TaskName& task, const StepSpec& step) {
     Count(task, step, -1);
--- a/source/workflow/workflow_record.h
+++ b/source/workflow/workflow_record.h
@@ -98,6 +98,8 @@
   WorkerNumber number = kNoWorkerNumber;
   NodeId agent;
   WorkerIncarnation worker_incarnation;
+  /// The capacity is the one at the registration; placement uses the one in the
+  /// latest report instead.
   WorkerAttributes attributes;
 
   template <typename Self, typename Visitor>
--- a/source/workflow/workflow_scheduler.cc
+++ b/source/workflow/workflow_scheduler.cc
@@ -136,17 +136,21 @@
   std::vector<WorkerCandidate> candidates;
   for (const auto& [number, status] : workers) {
     const WorkerEntry* entry = m_state.FindWorker(number);
+    if (!entry)
+      continue;
+    WorkerAllocation& allocation = GetOrAddAllocation(number);
+    allocation.SetCapacity(status.capacity);
     const auto pause = m_no_capacity_until.find(number);
     const bool is_paused =
         pause != m_no_capacity_until.end() && now < pause->second;
-    if (!entry || !status.is_accepting_runs || is_paused ||
+    if (!status.is_accepting_runs || is_paused ||
         !m_health.IsUsable(number, now)) {
       continue;
     }
     WorkerCandidate candidate;
     candidate.number = number;
     candidate.attributes = &entry->attributes;
-    candidate.allocation = &GetOrAddAllocation(number);
+    candidate.allocation = &allocation;
     candidate.latency_critical_samples = status.latency_critical_samples;
     candidate.best_effort_samples = status.best_effort_samples;
     candidate.is_healthy = m_health.IsHealthy(number);
--- a/source/workflow/workflow_scheduler.h
+++ b/source/workflow/workflow_scheduler.h
@@ -18,6 +18,7 @@
 /// State of a worker from its last report, which is not replicated.
 struct WorkerStatus {
   bool is_accepting_runs = false;
+  Resources capacity;
   std::span<const LatencyCriticalSample> latency_critical_samples;
   std::span<const BestEffortSample> best_effort_samples;
 };
--- a/tests/support/fake_run_worker.cc
+++ b/tests/support/fake_run_worker.cc
@@ -61,23 +61,32 @@
     return;
   }
   if (mode == Mode::kDelayedStart) {
-    m_delayed_starts.push_back(
-        {m_clock.Now() + start_delay, [this, request, number] {
-           if (number == m_incarnation_number)
-             Begin(request);
-         }});
+    m_delayed_starts.push_back({m_clock.Now() + start_delay,
+                                [this, request, number, capacity = m_capacity] {
+                                  if (number == m_incarnation_number)
+                                    Begin(request, capacity);
+                                }});
   }
   if (mode == Mode::kNoResponses)
-    Begin(request);
+    Begin(request, m_capacity);
   if (mode == Mode::kDelayedStart || mode == Mode::kNoResponses) {
     Respond(kTimeout, [done] { done(StartResponse()); });
     return;
   }
-  const StartResponse response = Begin(request);
+  const StartResponse response = Begin(request, m_capacity);
   Respond(kResponseDelay, [done, response] { done(response); });
 }
 
-StartResponse FakeRunWorker::Begin(const StartRequest& request) {
+bool FakeRunWorker::Fits(const TaskName& task,
+                         const Resources& capacity) const {
+  Resources used = resources_of(task);
+  for (const auto& [name, running] : m_running)
+    used += resources_of(name);
+  return used.FitsIn(capacity);
+}
+
+StartResponse FakeRunWorker::Begin(const StartRequest& request,
+                                   const Resources& capacity) {
   StartResponse response;
   response.worker_clock = WorkerClock();
   const auto running = m_running.find(request.task);
@@ -95,6 +104,11 @@
   m_lease_deadline = std::max(
       m_lease_deadline,
       std::min(request.lease_deadline, WorkerClock() + kMaxLeaseExtension));
+  // The capacity may have grown since the request was sent.
+  const bool is_over_capacity = resources_of && !Fits(request.task, capacity) &&
+                                !Fits(request.task, m_capacity);
+  if (is_over_capacity)
+    over_capacity_starts.push_back(request.task);
   Execution execution;
   execution.task = request.task;
   execution.run = request.run;
--- a/tests/support/fake_run_worker.h
+++ b/tests/support/fake_run_worker.h
@@ -9,6 +9,7 @@
 
 #include "source/agent/run_client.h"
 #include "source/base/clock.h"
+#include "source/base/resources.h"
 
 namespace fulmarrock::test {
 
@@ -32,7 +33,8 @@
 
 /// A worker with a slow clock of its own that enforces its lease. Responds to
 /// requests in Step(). A test may suppress its responses, delay its starts, or
-/// restart it.
+/// restart it. It has no admission control, but it records starts that exceed
+/// its capacity.
 class FakeRunWorker : public RunClient {
  public:
   enum class Mode {
@@ -49,6 +51,11 @@
   /// Starts a new incarnation, in which nothing runs.
   void Restart();
 
+  /// Records the capacity that the worker announces. Start requests that are
+  /// sent from now on have to fit into it. A request that is executed late has
+  /// to fit into the capacity of when it was sent, or into the current one.
+  void AnnounceCapacity(const Resources& capacity) { m_capacity = capacity; }
+
   /// Discards the responses that the crashed agent waited for.
   void DisconnectAgent();
 
@@ -83,6 +90,12 @@
   Millis stop_time{200};
   uint64_t acknowledged_ends = 0;
   std::map<TaskName, int64_t> speed_limits;
+  /// Returns the resources that count against the capacity for a task. Without
+  /// it starts that exceed the capacity are not recorded.
+  std::function<Resources(const TaskName&)> resources_of;
+  /// Tasks whose start brought the worker over its capacity. Runs that are
+  /// being stopped count until they have ended.
+  std::vector<TaskName> over_capacity_starts;
 
   Millis WorkerClock() const;
   size_t running_count() const { return m_running.size(); }
@@ -109,7 +122,9 @@
     PollDone done;
   };
 
-  StartResponse Begin(const StartRequest& request);
+  /// `capacity` is the one announced when the request was sent.
+  StartResponse Begin(const StartRequest& request, const Resources& capacity);
+  bool Fits(const TaskName& task, const Resources& capacity) const;
   void End(const TaskName& task, RunOutcome kind);
   void EndAll(RunOutcome kind, bool is_listed);
   void Acknowledge(uint64_t number);
@@ -118,6 +133,7 @@
 
   const Clock& m_clock;
   const std::string m_name;
+  Resources m_capacity;
   std::map<TaskName, Running> m_running;
   std::map<TaskName, RunNumber> m_highest_ended;
   std::vector<EndedRun> m_ended;
--- a/tests/support/workflow_cluster.cc
+++ b/tests/support/workflow_cluster.cc
@@ -37,6 +37,9 @@
   for (size_t i = 0; i < agent_count; ++i) {
     agents.push_back(
         std::make_unique<AgentNode>(clock, "agent" + std::to_string(i)));
+    agents[i]->worker.resources_of = [this](const TaskName& task) {
+      return ResourcesOf(task);
+    };
     StartAgent(i);
   }
   WorkflowGatewayOptions options;
@@ -108,12 +111,19 @@
   announcement.worker_incarnation = agent.worker.worker_incarnation;
   announcement.address = "127.0.0.1:1";
   announcement.attributes.service = "svc";
-  announcement.attributes.cpu_millicores = 4'000;
-  announcement.attributes.memory_mib = 4'096;
+  announcement.attributes.cpu_millicores = agent.capacity.cpu_millicores;
+  announcement.attributes.memory_mib = agent.capacity.memory_mib;
+  announcement.attributes.accelerators = agent.capacity.accelerators;
   announcement.is_draining = agent.is_draining;
   announcement.sequence = ++agent.sequence;
   announcement.worker_clock = agent.worker.WorkerClock();
-  agent.runner->OnAnnouncement(announcement);
+  if (agent.runner->OnAnnouncement(announcement))
+    agent.worker.AnnounceCapacity(agent.capacity);
+}
+
+void WorkflowCluster::SetCapacity(size_t index, const Resources& capacity) {
+  agents[index]->capacity = capacity;
+  Announce(*agents[index]);
 }
 
 void WorkflowCluster::ChangeLeader(size_t index) {
@@ -239,7 +249,26 @@
                      });
 }
 
+Resources WorkflowCluster::ResourcesOf(const TaskName& task) const {
+  const auto spec = std::find_if(
+      submitted.begin(), submitted.end(),
+      [&](const WorkflowSpec& other) { return other.key == task.workflow; });
+  if (spec == submitted.end())
+    return {};
+  const StepSpec& step = spec->steps[task.step];
+  Resources resources = step.resources();
+  if (step.is_best_effort)
+    resources.cpu_millicores = 0;
+  return resources;
+}
+
 std::string WorkflowCluster::FindViolation() const {
+  for (const auto& agent : agents) {
+    if (!agent->worker.over_capacity_starts.empty()) {
+      return ToString(agent->worker.over_capacity_starts.front()) +
+             " brought the worker of " + agent->node + " over its capacity";
+    }
+  }
   std::map<TaskName, std::vector<Execution>> by_task;
   for (const Execution& execution : Executions())
     by_task[execution.task].push_back(execution);
--- a/tests/support/workflow_cluster.h
+++ b/tests/support/workflow_cluster.h
@@ -36,6 +36,7 @@
     std::unique_ptr<WorkflowRunner> runner;
     uint64_t sequence = 0;
     bool is_draining = false;
+    Resources capacity{4'000, 4'096, 0};
   };
 
   WorkflowCluster(size_t members, size_t agents, uint64_t seed);
@@ -48,6 +49,8 @@
   void StartMember(size_t index);
   void CrashAgent(size_t index);
   void StartAgent(size_t index);
+  /// Changes the capacity of a worker, which announces it immediately.
+  void SetCapacity(size_t index, const Resources& capacity);
   /// Makes another member the leader.
   void ChangeLeader(size_t index);
   ControlRole& leader();
@@ -67,7 +70,8 @@
 
   /// Returns the first violation of an invariant, or an empty text: two runs of
   /// a task at a time, a start after a completion that was acknowledged to the
-  /// worker, a step before its dependencies.
+  /// worker, a step before its dependencies, a start over the worker's
+  /// capacity.
   std::string FindViolation() const;
 
   ManualClock clock;
@@ -85,6 +89,7 @@
   void Step();
   void Announce(AgentNode& agent);
   bool IsLongRunning(const TaskName& task) const;
+  Resources ResourcesOf(const TaskName& task) const;
 
   std::unique_ptr<FixedWallClock> m_wall_clock;
   Millis m_next_announcement;
