Agent: Refuse a start that exceeds the worker's current capacity

What callers would see: a start that control sent before it learned that the worker shrank brings a worker without admission control over its capacity.

Cause: the agent passed every start on to its worker.

Change: on arrival, a start is checked against the capacity announced last. All runs count whose end the worker has not listed, in every stage, each by its CPU (not that of best-effort tasks), memory and accelerators, which the start instruction carries in trailing fields now. A start that does not fit ends as kRefused through RefuseRun(), so that control pauses the worker.

The resources of a run that a restarted agent finds on its worker are unknown until control sends its instruction. Until then the agent starts nothing beside it and does not refuse either: control repeats the start. Instructions for known runs are handled before new starts of the same message. The agent names the runs without instruction in each report, and control sends the instruction again, or the stop of a run that it does not know; otherwise a lost message would keep the worker idle. A run known only from a stop instruction counts nothing: control still allocates it, and the stop keeps it from starting.

Result: two tests of worker_capacity_test.cc fail before (a start that arrives after the shrink, at two ages of the agent and two capacities; runs of an earlier agent process) and pass after.

--- a/source/agent/run_table.h
+++ b/source/agent/run_table.h
@@ -29,6 +29,8 @@
   /// worker after a restart of the agent.
   StartInstruction instruction;
   bool has_instruction = false;
+  /// Whether the worker has listed a run of the task.
+  bool is_listed = false;
   /// Speed limit that was sent last; negative when not known.
   int64_t speed_limit_percent = 100;
   bool is_speed_limit_in_flight = false;
--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "source/agent/capacity_check.h"
 #include "source/agent/run_progress.h"
 
 namespace fulmarrock {
@@ -188,24 +189,36 @@
   m_is_expiry_unreported = false;
   if (m_is_lease_expired)
     return;
-  for (const StartInstruction& instruction : instructions.starts)
-    OnStartInstruction(instruction);
+  // New runs come last, because they have to fit beside those that were found
+  // on the worker and whose resources the other instructions tell.
+  std::vector<const StartInstruction*> new_starts;
+  for (const StartInstruction& instruction : instructions.starts) {
+    if (!OnRepeatedStartInstruction(instruction))
+      new_starts.push_back(&instruction);
+  }
+  for (const StartInstruction* instruction : new_starts)
+    OnNewStartInstruction(*instruction);
 }
 
-void WorkflowRunner::OnStartInstruction(const StartInstruction& instruction) {
+bool WorkflowRunner::OnRepeatedStartInstruction(
+    const StartInstruction& instruction) {
   const auto it = m_runs.find(instruction.task);
-  if (it != m_runs.end()) {
-    LocalRun& local = it->second;
-    if (local.run != instruction.run)
-      return;
-    if (!local.has_instruction) {
-      local.instruction = instruction;
-      local.has_instruction = true;
-    }
-    if (local.stage == RunStage::kRunning)
-      m_newly_confirmed.push_back({instruction.task, instruction.run});
-    return;
+  if (it == m_runs.end())
+    return false;
+  LocalRun& local = it->second;
+  if (local.run != instruction.run)
+    return true;
+  if (!local.has_instruction) {
+    local.instruction = instruction;
+    local.has_instruction = true;
   }
+  if (local.stage == RunStage::kRunning)
+    m_newly_confirmed.push_back({instruction.task, instruction.run});
+  return true;
+}
+
+void WorkflowRunner::OnNewStartInstruction(
+    const StartInstruction& instruction) {
   // The run has ended, but control has not stored that yet.
   if (m_events.Holds(instruction.task, instruction.run))
     return;
@@ -222,13 +235,29 @@
              instruction.checkpoint, 0);
     return;
   }
+  const CapacityFit fit =
+      CheckCapacity(instruction, m_runs, m_worker->attributes.capacity());
+  if (fit == CapacityFit::kUnknown) {
+    // Control repeats this instruction, and sends those that are missing.
+    m_counters.Add("agent_starts_beside_unknown_runs");
+    return;
+  }
+  AddRun(instruction);
+  if (fit == CapacityFit::kFits) {
+    StartRun(instruction.task);
+    return;
+  }
+  m_counters.Add("agent_starts_over_capacity");
+  RefuseRun(instruction.task, RunOutcome::kRefused);
+}
+
+void WorkflowRunner::AddRun(const StartInstruction& instruction) {
   LocalRun& local = m_runs[instruction.task];
   local.run = instruction.run;
   local.instruction = instruction;
   local.has_instruction = true;
   local.since = m_clock.Now();
   local.progress_at = local.since;
-  StartRun(instruction.task);
 }
 
 void WorkflowRunner::StartRun(const TaskName& task) {
@@ -487,6 +516,7 @@
     listed_runs.insert(listed_run.task);
     const auto [it, is_new] = m_runs.try_emplace(listed_run.task);
     LocalRun& local = it->second;
+    local.is_listed = true;
     if (!is_new && local.run != listed_run.run)
       continue;
     const bool is_newly_confirmed = is_new ||
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -85,7 +85,12 @@
   void OnCapacityChange(const WorkerAnnouncement& announcement);
   void OnInstructions(const NodeId& from,
                       const WorkerInstructions& instructions);
-  void OnStartInstruction(const StartInstruction& instruction);
+  /// Handles a start instruction for a task that the agent has a run of.
+  /// Returns false if it has none.
+  bool OnRepeatedStartInstruction(const StartInstruction& instruction);
+  /// Handles a start instruction for a task that the agent has no run of.
+  void OnNewStartInstruction(const StartInstruction& instruction);
+  void AddRun(const StartInstruction& instruction);
   void OnStopInstruction(const RunId& instruction);
   void StartRun(const TaskName& task);
   void OnStartResponse(const TaskName& task,
--- a/source/agent/workflow_runner_reports.cc
+++ b/source/agent/workflow_runner_reports.cc
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "source/agent/capacity_check.h"
 #include "source/agent/run_progress.h"
 #include "source/agent/workflow_runner.h"
 #include "source/base/json_text.h"
@@ -80,6 +81,7 @@
   report.stored_sequence = m_events.stored_sequence();
   if (IsWorkerReachable())
     report.stalled_runs = FindStalledRuns(m_runs, now);
+  report.runs_without_instruction = FindRunsWithoutInstruction(m_runs);
   m_speed_limiter.AddSamples(report);
   return report;
 }
--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -71,20 +71,29 @@
   return true;
 }
 
+bool WorkerLink::IsActiveHere(const RunId& run) const {
+  const WorkflowTask* task = m_state.FindTask(run.task);
+  return task && task->stage == TaskStage::kActive && task->run == run.run &&
+         task->worker == m_worker;
+}
+
 void WorkerLink::Reconcile(const WorkerReport& report) {
   m_unknown_runs.clear();
   std::set<TaskName> listed_runs;
   for (const RunId& run : report.listed_runs) {
-    const WorkflowTask* task = m_state.FindTask(run.task);
-    const bool is_active = task && task->stage == TaskStage::kActive &&
-                           task->run == run.run && task->worker == m_worker;
-    if (!is_active) {
+    if (!IsActiveHere(run)) {
       m_unknown_runs.push_back(run);
       continue;
     }
     listed_runs.insert(run.task);
     m_starts.erase(run.task);
   }
+  for (const RunId& run : report.runs_without_instruction) {
+    if (!IsActiveHere(run))
+      m_unknown_runs.push_back(run);
+    else if (!m_stops.contains(run.task))
+      m_starts.try_emplace(run.task, PendingInstruction(run.run));
+  }
   if (!report.is_full_report)
     return;
   m_needs_full_report = false;
@@ -201,6 +210,8 @@
   instruction.is_long_running = step.is_long_running;
   instruction.image = step.image;
   instruction.cpu_millicores = step.cpu_millicores;
+  instruction.memory_mib = step.memory_mib;
+  instruction.accelerators = step.accelerators;
   return instruction;
 }
 
--- a/source/control/worker_link.h
+++ b/source/control/worker_link.h
@@ -104,6 +104,8 @@
   using Instructions = std::map<TaskName, PendingInstruction>;
 
   static bool IsDue(const PendingInstruction& instruction, Millis now);
+  /// Whether a run is active on this worker in the replicated state.
+  bool IsActiveHere(const RunId& run) const;
   void Reconcile(const WorkerReport& report);
   void StopEndedWorkflows();
   StartInstruction MakeStart(const TaskName& task, RunNumber run) const;
--- a/source/message/workflow_messages.h
+++ b/source/message/workflow_messages.h
@@ -191,6 +191,9 @@
   std::vector<LatencyCriticalSample> latency_critical_samples;
   std::vector<BestEffortSample> best_effort_samples;
   bool has_samples = false;
+  /// Runs that the worker lists and whose start instruction the agent lacks, so
+  /// that it does not know their resources.
+  std::vector<RunId> runs_without_instruction;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
@@ -198,7 +201,8 @@
             self.attributes, self.is_accepting_runs, self.all_runs_ended,
             self.is_full_report, self.listed_runs, self.stored_sequence,
             self.events, self.stalled_runs, self.latency_critical_samples,
-            self.best_effort_samples, self.has_samples);
+            self.best_effort_samples, self.has_samples,
+            self.runs_without_instruction);
   }
 };
 
@@ -215,13 +219,18 @@
   bool is_long_running = false;
   /// Container image of the task.
   std::string image;
+  /// Resources of the task; the CPU of a best-effort task does not count
+  /// against the worker's capacity.
   int64_t cpu_millicores = 0;
+  int64_t memory_mib = 0;
+  int64_t accelerators = 0;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.task, self.run, self.payload, self.checkpoint, self.estimate,
             self.is_best_effort, self.latency_target, self.is_long_running,
-            self.image, self.cpu_millicores);
+            self.image, self.cpu_millicores, self.memory_mib,
+            self.accelerators);
   }
 };
 
--- a/tests/workflow/decisions_test.cc
+++ b/tests/workflow/decisions_test.cc
@@ -1,5 +1,8 @@
+#include <utility>
+
 #include <catch2/catch.hpp>
 
+#include "source/agent/capacity_check.h"
 #include "source/control/worker_link.h"
 #include "source/workflow/step_ordering.h"
 #include "source/workflow/worker_health.h"
@@ -26,6 +29,20 @@
   return report;
 }
 
+/// Returns commands after which the first of two tasks of workflow 7 is active
+/// on worker 1, beside the agent "agent".
+WorkflowBatch MakeAssignedWorkflow(RunNumber run) {
+  WorkflowBatch batch;
+  ConfigureQueues queues;
+  queues.queue_configuration.version = 1;
+  queues.queue_configuration.queues.resize(1);
+  batch.configurations.push_back(std::move(queues));
+  batch.workers.push_back({"agent", {"w", 1}, {}});
+  batch.submissions.push_back({0, "", "", MakeChain(7, {2})});
+  batch.assignments.push_back({{7, 0, 0, 0}, run, 1});
+  return batch;
+}
+
 }  // namespace
 
 // An agent discards every event up to the last stored one. Events after a gap
@@ -247,4 +264,75 @@
   CHECK(link.best_effort_samples().empty());
 }
 
+// Guards against an agent that never learns the resources of a run that it
+// found on its worker, because the first message with them was lost, and
+// therefore starts nothing any more.
+TEST_CASE("An agent that lacks a start instruction gets it again") {
+  WorkflowState state;
+  state.Apply(MakeAssignedWorkflow(1), kNow);
+  WorkerLink link("agent", state);
+  WorkerReport report = MakeReport({}, 0);
+  report.is_full_report = true;
+  report.listed_runs = {{{7, 0, 0, 0}, 1}, {{7, 0, 0, 1}, 1}};
+  link.OnReport(report, 1, kNow);
+  link.TakeInstructions(1, Millis(0), kNow);
+  // The instructions were lost, and another full report lists the runs again.
+  link.OnReport(report, 1, kNow);
+  REQUIRE(link.TakeInstructions(1, Millis(0), kNow).starts.empty());
+  report.is_full_report = false;
+  report.runs_without_instruction = std::exchange(report.listed_runs, {});
+  link.OnReport(report, 1, kNow);
+  const WorkerInstructions instructions =
+      link.TakeInstructions(1, Millis(0), kNow);
+  REQUIRE(instructions.starts.size() == 1);
+  CHECK(instructions.starts[0].task.index == 0);
+  CHECK(instructions.starts[0].memory_mib == 256);
+  // Control does not know the other run.
+  REQUIRE(instructions.stops.size() == 1);
+  CHECK(instructions.stops[0].task.index == 1);
+}
+
+// Guards against a start beside runs that may still execute, and against a
+// best-effort task whose CPU counts.
+TEST_CASE("All runs count against the capacity, whatever their stage") {
+  StartInstruction start;
+  start.cpu_millicores = 1'000;
+  start.memory_mib = 256;
+  LocalRuns runs;
+  for (const RunStage stage :
+       {RunStage::kStarting, RunStage::kUnconfirmed, RunStage::kRunning,
+        RunStage::kStopping, RunStage::kStopped}) {
+    LocalRun& local = runs[{7, 0, 0, static_cast<uint32_t>(stage)}];
+    local.stage = stage;
+    local.instruction = start;
+    local.has_instruction = true;
+  }
+  CHECK(CheckCapacity(start, runs, {6'000, 1'536, 0}) == CapacityFit::kFits);
+  CHECK(CheckCapacity(start, runs, {5'999, 1'536, 0}) == CapacityFit::kExceeds);
+  CHECK(CheckCapacity(start, runs, {6'000, 1'535, 0}) == CapacityFit::kExceeds);
+  start.is_best_effort = true;
+  CHECK(CheckCapacity(start, runs, {5'000, 1'536, 0}) == CapacityFit::kFits);
+  CHECK(CheckCapacity(start, runs, {5'000, 1'535, 0}) == CapacityFit::kExceeds);
+  start.accelerators = 1;
+  CHECK(CheckCapacity(start, runs, {9'000, 9'000, 0}) == CapacityFit::kExceeds);
+}
+
+// Guards against a start beside a run of an earlier agent process that counts
+// nothing, and against a stop instruction that blocks all starts.
+TEST_CASE("A run of unknown resources blocks starts only while it is listed") {
+  LocalRuns runs;
+  LocalRun& found = runs[{7, 0, 0, 0}];
+  found.run = 3;
+  const Resources capacity{4'000, 4'096, 0};
+  const StartInstruction start;
+  CHECK(CheckCapacity(start, runs, capacity) == CapacityFit::kFits);
+  CHECK(FindRunsWithoutInstruction(runs).empty());
+  found.is_listed = true;
+  CHECK(CheckCapacity(start, runs, capacity) == CapacityFit::kUnknown);
+  REQUIRE(FindRunsWithoutInstruction(runs).size() == 1);
+  CHECK(FindRunsWithoutInstruction(runs)[0].run == 3);
+  found.has_instruction = true;
+  CHECK(CheckCapacity(start, runs, capacity) == CapacityFit::kFits);
+}
+
 }  // namespace fulmarrock::test
--- a/tests/workflow/worker_capacity_test.cc
+++ b/tests/workflow/worker_capacity_test.cc
@@ -85,6 +85,28 @@
   CHECK(cluster.FindViolation().empty());
 }
 
+TEST_CASE("A start that arrives after the capacity shrank is refused") {
+  // Guards against starts that control sent before it learned of the smaller
+  // capacity. A start may have a duplicate of an earlier agent process for some
+  // seconds after the agent's start, and is refused in another way until then.
+  const Millis age = GENERATE(Millis(1'000), Millis(14'000));
+  const Resources capacity = GENERATE(kHalfCapacity, kLittleMemory);
+  WorkflowCluster cluster(3, 1, 1);
+  cluster.SetQueueConfiguration(1);
+  cluster.Run(age);
+  cluster.network.SetLinkDelay("control0", "agent0", Millis(300));
+  cluster.Submit(MakeChain(7, {4}));
+  cluster.Run(Millis(150));
+  REQUIRE(cluster.agents[0]->worker.start_calls() == 0);
+  cluster.SetCapacity(0, capacity);
+  cluster.Run(Millis(400));
+  CHECK(cluster.agents[0]->worker.start_calls() == 2);
+  cluster.network.SetLinkDelay("control0", "agent0", Millis(1));
+  cluster.Run(Millis(5'000));
+  CHECK(cluster.FindViolation().empty());
+  CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
+}
+
 TEST_CASE("A new leader places by the reported capacity") {
   // Guards against a leader that uses the registered capacity because the
   // change was reported to its predecessor.
@@ -123,4 +145,28 @@
   CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
 }
 
+TEST_CASE("A restarted agent counts runs that an earlier process started") {
+  // Control assigns a run while the agent is down. Its task sorts before those
+  // of the active runs, so that the agent receives its start instruction before
+  // it learns how large the runs are that it finds on the worker.
+  WorkflowCluster cluster(3, 1, 1);
+  cluster.SetQueueConfiguration(1);
+  cluster.agents[0]->worker.duration = Millis(3'000);
+  cluster.Run(Millis(1'000));
+  cluster.Submit(MakeChain(7, {3}));
+  cluster.Run(Millis(300));
+  REQUIRE(cluster.agents[0]->worker.running_count() == 3);
+  cluster.CrashAgent(0);
+  cluster.Submit(MakeChain(5, {1}));
+  cluster.Run(Millis(100));
+  cluster.agents[0]->capacity = kThreeTasks;
+  cluster.StartAgent(0);
+  cluster.Run(Millis(1'000));
+  CHECK(cluster.agents[0]->worker.running_count() == 3);
+  cluster.Run(Millis(8'000));
+  CHECK(cluster.FindViolation().empty());
+  CHECK(cluster.PhaseOf(5) == WorkflowPhase::kCompleted);
+  CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
+}
+
 }  // namespace fulmarrock::test
--- a/tests/workflow/workflow_random_test.cc
+++ b/tests/workflow/workflow_random_test.cc
@@ -1,11 +1,15 @@
+#include <iterator>
+
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
 
 #include "tests/support/workflow_cluster.h"
 
-// Random faults of workers, agents, links and leaders. The oracle checks that
-// no task runs twice at a time or after its completion, that steps run after
-// their dependencies, and that everything completes once the faults have ended.
+// Random faults of workers, agents, links and leaders, and changes of the
+// workers' capacity. The oracle checks that no task runs twice at a time or
+// after its completion, that steps run after their dependencies, that no start
+// brings a worker over the capacity that it announced before the start request
+// was sent, and that everything completes once the faults have ended.
 
 namespace fulmarrock::test {
 namespace {
@@ -14,6 +18,12 @@
 
 constexpr size_t kMembers = 3;
 constexpr size_t kAgents = 3;
+constexpr Resources kFullCapacity{4'000, 4'096, 0};
+/// Capacities for one to three tasks, or none, by CPU or by memory.
+constexpr Resources kShrunkCapacities[] = {{1'000, 4'096, 0},
+                                           {3'000, 4'096, 0},
+                                           {4'000, 600, 0},
+                                           {0, 0, 0}};
 
 void ApplyFault(WorkflowCluster& cluster, int fault, size_t index) {
   auto& agent = *cluster.agents[index % kAgents];
@@ -48,6 +58,15 @@
     case 7:
       agent.worker.mode = Mode::kHanging;
       break;
+    case 8:
+    case 9:
+      cluster.SetCapacity(index % kAgents,
+                          kShrunkCapacities[cluster.random.Below(
+                              std::size(kShrunkCapacities))]);
+      break;
+    case 10:
+      cluster.SetCapacity(index % kAgents, kFullCapacity);
+      break;
     default:
       break;
   }
@@ -62,6 +81,7 @@
     agent.worker.mode = Mode::kNormal;
     if (!agent.runner)
       cluster.StartAgent(i);
+    cluster.SetCapacity(i, kFullCapacity);
   }
 }
 
@@ -72,7 +92,7 @@
     const auto seed = *rc::gen::inRange<uint64_t>(1, 1'000'000);
     const auto faults =
         *rc::gen::container<std::vector<std::pair<int, size_t>>>(rc::gen::pair(
-            rc::gen::inRange(0, 9), rc::gen::inRange<size_t>(0, 6)));
+            rc::gen::inRange(0, 12), rc::gen::inRange<size_t>(0, 6)));
     WorkflowCluster cluster(kMembers, kAgents, seed);
     cluster.network.SetDelay(Millis(1), Millis(3));
     cluster.SetQueueConfiguration(1, 50);
