Control: Send the start of a run whose task has an older end in the report

What callers would see: a workflow that never completes: a run that is active in the replicated state and that its agent never gets.

Cause: the first full report to a new leader decides which starts have to be sent again. A task with an end among the events of that report was left out, although the end may be of an earlier run that is stored already and that the agent repeats, because it has not learned of that.

Change: only the end of the active run replaces its start instruction.

Result: a new test of decisions_test.cc fails before and passes after.

--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -98,8 +98,11 @@
     return;
   m_needs_full_report = false;
   std::set<TaskName> ended;
-  for (const RunEvent& event : report.events)
-    ended.insert(event.task);
+  for (const RunEvent& event : report.events) {
+    // The end of an earlier run of the task may be stored already.
+    if (IsActiveHere({event.task, event.run}))
+      ended.insert(event.task);
+  }
   for (const TaskName& task : m_state.RunsOf(m_worker)) {
     const bool is_confirmed =
         listed_runs.contains(task) && !m_must_resend_starts;
--- a/tests/workflow/decisions_test.cc
+++ b/tests/workflow/decisions_test.cc
@@ -292,6 +292,21 @@
   CHECK(instructions.stops[0].task.index == 1);
 }
 
+// Guards against a run that never starts: an agent that does not know that the
+// end of an earlier run is stored repeats it to a new leader, which took it for
+// the end of the active run. Found by the random test with RapidCheck seed 202.
+TEST_CASE("The end of an earlier run does not replace the start of a run") {
+  WorkflowState state;
+  state.Apply(MakeAssignedWorkflow(2), kNow);
+  WorkerLink link("agent", state);
+  WorkerReport report = MakeReport({1}, 0);
+  report.is_full_report = true;
+  report.events[0].task = {7, 0, 0, 0};
+  report.events[0].run = 1;
+  link.OnReport(report, 1, kNow);
+  CHECK(link.TakeInstructions(1, Millis(0), kNow).starts.size() == 1);
+}
+
 // Guards against a start beside runs that may still execute, and against a
 // best-effort task whose CPU counts.
 TEST_CASE("All runs count against the capacity, whatever their stage") {
