Control: Send all starts at once to an agent that has polled its worker

What callers would see: a start that brings a shrunk worker over its capacity after a restart of its agent, beside a delayed start of the earlier agent process.

Cause: an agent ignores starts until it has polled its worker. A start that was sent to it before, or to its earlier process, was repeated only after 400 ms, while newly assigned runs were sent immediately. So the agent counted these runs without one that its earlier process may have started.

Change: the first full report of an agent process makes all starts of active runs due at once.

Result: a new test of decisions_test.cc fails before and passes after.

--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -106,9 +106,12 @@
   for (const TaskName& task : m_state.RunsOf(m_worker)) {
     const bool is_confirmed =
         listed_runs.contains(task) && !m_must_resend_starts;
-    if (!is_confirmed && !ended.contains(task) && !m_stops.contains(task))
-      m_starts.try_emplace(task,
-                           PendingInstruction(m_state.FindTask(task)->run));
+    if (is_confirmed || ended.contains(task) || m_stops.contains(task))
+      continue;
+    // A new agent process ignored what was sent before it polled its worker.
+    if (m_must_resend_starts)
+      m_starts.erase(task);
+    m_starts.try_emplace(task, PendingInstruction(m_state.FindTask(task)->run));
   }
   m_must_resend_starts = false;
 }
--- a/tests/workflow/decisions_test.cc
+++ b/tests/workflow/decisions_test.cc
@@ -307,6 +307,25 @@
   CHECK(link.TakeInstructions(1, Millis(0), kNow).starts.size() == 1);
 }
 
+// Guards against an agent that starts other runs before it learns of one that
+// its earlier process may have started. An agent ignores start instructions
+// until it has polled its worker. Found by the random test with RapidCheck seed
+// 404.
+TEST_CASE("The first full report of an agent process gets all starts at once") {
+  WorkflowState state;
+  state.Apply(MakeAssignedWorkflow(1), kNow);
+  WorkerLink link("agent", state);
+  WorkerReport report = MakeReport({}, 0);
+  link.OnReport(report, 1, kNow);
+  link.AddStart({7, 0, 0, 0}, 1);
+  REQUIRE(link.TakeInstructions(1, Millis(0), kNow).starts.size() == 1);
+  report.agent_incarnation = 6;
+  report.is_full_report = true;
+  link.OnReport(report, 1, kNow + Millis(20));
+  CHECK(link.TakeInstructions(1, Millis(0), kNow + Millis(20)).starts.size() ==
+        1);
+}
+
 // Guards against a start beside runs that may still execute, and against a
 // best-effort task whose CPU counts.
 TEST_CASE("All runs count against the capacity, whatever their stage") {
