--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "source/agent/capacity_check.h"
 #include "source/agent/run_progress.h"
 
 namespace fulmarrock {
@@ -54,6 +55,8 @@
     if (announcement.sequence <= m_worker->sequence || m_is_deregistered)
       return false;
     m_is_report_urgent |= announcement.is_draining != m_worker->is_draining;
+    if (announcement.attributes.capacity() != m_worker->attributes.capacity())
+      OnCapacityChange(announcement);
     if (announcement.is_draining && !m_worker->is_draining) {
       m_decisions.Write(DecisionLine("worker_leaving")
                             .With("life", announcement.worker_incarnation.id)
@@ -79,6 +82,16 @@
   return true;
 }
 
+void WorkflowRunner::OnCapacityChange(const WorkerAnnouncement& announcement) {
+  m_is_report_urgent = true;
+  m_decisions.Write(
+      DecisionLine("worker_capacity_changed")
+          .With("life", announcement.worker_incarnation.id)
+          .With("cpu_millicores", announcement.attributes.cpu_millicores)
+          .With("memory_mib", announcement.attributes.memory_mib)
+          .With("accelerators", announcement.attributes.accelerators));
+}
+
 void WorkflowRunner::AdoptWorkerIncarnation(
     const WorkerAnnouncement& announcement) {
   const Millis now = m_clock.Now();
@@ -180,24 +193,36 @@
   m_is_expiry_unreported = false;
   if (m_is_lease_expired)
     return;
-  for (const StartInstruction& instruction : instructions.starts)
-    OnStartInstruction(instruction);
+  // New runs come last, because they have to fit beside those that were found
+  // on the worker and whose resources the other instructions tell.
+  std::vector<const StartInstruction*> new_starts;
+  for (const StartInstruction& instruction : instructions.starts) {
+    if (!OnRepeatedStartInstruction(instruction))
+      new_starts.push_back(&instruction);
+  }
+  for (const StartInstruction* instruction : new_starts)
+    OnNewStartInstruction(*instruction);
 }
 
-void WorkflowRunner::OnStartInstruction(const StartInstruction& instruction) {
+bool WorkflowRunner::OnRepeatedStartInstruction(
+    const StartInstruction& instruction) {
   const auto it = m_runs.find(instruction.task);
-  if (it != m_runs.end()) {
-    LocalRun& local = it->second;
-    if (local.run != instruction.run)
-      return;
-    if (!local.has_instruction) {
-      local.instruction = instruction;
-      local.has_instruction = true;
-    }
-    if (local.stage == RunStage::kRunning)
-      m_newly_confirmed.push_back({instruction.task, instruction.run});
-    return;
+  if (it == m_runs.end())
+    return false;
+  LocalRun& local = it->second;
+  if (local.run != instruction.run)
+    return true;
+  if (!local.has_instruction) {
+    local.instruction = instruction;
+    local.has_instruction = true;
   }
+  if (local.stage == RunStage::kRunning)
+    m_newly_confirmed.push_back({instruction.task, instruction.run});
+  return true;
+}
+
+void WorkflowRunner::OnNewStartInstruction(
+    const StartInstruction& instruction) {
   // The run has ended, but control has not stored that yet.
   if (m_events.Holds(instruction.task, instruction.run))
     return;
@@ -214,6 +239,23 @@
              instruction.checkpoint, 0);
     return;
   }
+  const CapacityFit fit =
+      CheckCapacity(instruction, m_runs, m_worker->attributes.capacity());
+  if (fit == CapacityFit::kUnknown) {
+    // Control repeats this instruction, and sends those that are missing.
+    m_counters.Add("agent_starts_beside_unknown_runs");
+    return;
+  }
+  AddRun(instruction);
+  if (fit == CapacityFit::kFits) {
+    StartRun(instruction.task);
+    return;
+  }
+  m_counters.Add("agent_starts_over_capacity");
+  RefuseRun(instruction.task, RunOutcome::kRefused);
+}
+
+void WorkflowRunner::AddRun(const StartInstruction& instruction) {
   LocalRun& local = m_runs[instruction.task];
   local.run = instruction.run;
   local.instruction = instruction;
@@ -221,7 +263,6 @@
   local.since = m_clock.Now();
   local.started_at = local.since;
   local.progress_at = local.since;
-  StartRun(instruction.task);
 }
 
 void WorkflowRunner::StartRun(const TaskName& task) {
@@ -487,6 +528,7 @@
     m_lost_runs.Remove(listed_run.task, listed_run.run);
     const auto [it, is_new] = m_runs.try_emplace(listed_run.task);
     LocalRun& local = it->second;
+    local.is_listed = true;
     if (!is_new && local.run != listed_run.run)
       continue;
     const bool is_newly_confirmed = is_new ||
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -81,9 +81,17 @@
 
  private:
   void AdoptWorkerIncarnation(const WorkerAnnouncement& announcement);
+  /// The worker announces a capacity that differs from the last one. Control
+  /// has to learn of it before it places the next run there.
+  void OnCapacityChange(const WorkerAnnouncement& announcement);
   void OnInstructions(const NodeId& from,
                       const WorkerInstructions& instructions);
-  void OnStartInstruction(const StartInstruction& instruction);
+  /// Handles a start instruction for a task that the agent has a run of.
+  /// Returns false if it has none.
+  bool OnRepeatedStartInstruction(const StartInstruction& instruction);
+  /// Handles a start instruction for a task that the agent has no run of.
+  void OnNewStartInstruction(const StartInstruction& instruction);
+  void AddRun(const StartInstruction& instruction);
   void OnStopInstruction(const RunId& instruction);
   void StartRun(const TaskName& task);
   void OnStartResponse(const TaskName& task,
--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -71,14 +71,17 @@
   return true;
 }
 
+bool WorkerLink::IsActiveHere(const RunId& run) const {
+  const WorkflowTask* task = m_state.FindTask(run.task);
+  return task && task->stage == TaskStage::kActive && task->run == run.run &&
+         task->worker == m_worker;
+}
+
 void WorkerLink::Reconcile(const WorkerReport& report) {
   m_unknown_runs.clear();
   std::set<TaskName> listed_runs;
   for (const RunId& run : report.listed_runs) {
-    const WorkflowTask* task = m_state.FindTask(run.task);
-    const bool is_active = task && task->stage == TaskStage::kActive &&
-                           task->run == run.run && task->worker == m_worker;
-    if (!is_active) {
+    if (!IsActiveHere(run)) {
       m_unknown_runs.push_back(run);
       continue;
     }
@@ -88,20 +91,32 @@
   // The instruction to stop an unknown run may be lost. The agent lists the run
   // again until it stops it.
   const bool has_unknown_runs = !m_unknown_runs.empty();
+  for (const RunId& run : report.runs_without_instruction) {
+    if (!IsActiveHere(run))
+      m_unknown_runs.push_back(run);
+    else if (!m_stops.contains(run.task))
+      m_starts.try_emplace(run.task, PendingInstruction(run.run));
+  }
   if (!report.is_full_report) {
     m_needs_full_report |= has_unknown_runs;
     return;
   }
   m_needs_full_report = has_unknown_runs;
   std::set<TaskName> ended;
-  for (const RunEvent& event : report.events)
-    ended.insert(event.task);
+  for (const RunEvent& event : report.events) {
+    // The end of an earlier run of the task may be stored already.
+    if (IsActiveHere({event.task, event.run}))
+      ended.insert(event.task);
+  }
   for (const TaskName& task : m_state.RunsOf(m_worker)) {
     const bool is_confirmed =
         listed_runs.contains(task) && !m_must_resend_starts;
-    if (!is_confirmed && !ended.contains(task) && !m_stops.contains(task))
-      m_starts.try_emplace(task,
-                           PendingInstruction(m_state.FindTask(task)->run));
+    if (is_confirmed || ended.contains(task) || m_stops.contains(task))
+      continue;
+    // A new agent process ignored what was sent before it polled its worker.
+    if (m_must_resend_starts)
+      m_starts.erase(task);
+    m_starts.try_emplace(task, PendingInstruction(m_state.FindTask(task)->run));
   }
   m_must_resend_starts = false;
 }
@@ -206,6 +221,8 @@
   instruction.is_long_running = step.is_long_running;
   instruction.image = step.image;
   instruction.cpu_millicores = step.cpu_millicores;
+  instruction.memory_mib = step.memory_mib;
+  instruction.accelerators = step.accelerators;
   return instruction;
 }
 
