--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -127,6 +127,20 @@
   }
 }
 
+// Guards against a worker that seems to have no capacity because another
+// program announced it without any.
+TEST_CASE("A heartbeat without a capacity is an error") {
+  for (const char* capacity :
+       {"", R"(,"capacity":{})", R"(,"capacity":{"cpu":16000})",
+        R"(,"capacity":{"mem_mb":32768})", R"(,"capacity":7)"}) {
+    const std::string body =
+        R"({"service":"svc","address":"10.0.0.1:1","state":"ready")" +
+        std::string(capacity) + "}";
+    INFO(body);
+    CHECK_FALSE(DecodeAnnouncement(body, "i-1"));
+  }
+}
+
 TEST_CASE("The response to a poll lists running and ended runs") {
   const Result<PollResponse> answer = DecodePoll(
       R"({"clock_ms":482113,"born":5,"running":[["5c0e7a21d94b36f8.0.1.17",2,
