--- /dev/null
+++ b/source/agent/workflow_runner_polls.cc
@@ -0,0 +1,186 @@
+#include <algorithm>
+
+#include "source/agent/run_progress.h"
+#include "source/agent/workflow_runner.h"
+
+// Polls of the worker, and what their responses say about its runs.
+
+namespace fulmarrock {
+namespace {
+
+/// How long a worker may wait for a run to end before it responds to a poll.
+constexpr Millis kMaxPollWait{600};
+/// The same while best-effort tasks run beside latency-critical tasks, whose
+/// latency measurements cover half a second.
+constexpr Millis kMaxPollWaitForLatency{200};
+/// Delay of the next poll after one that got no response.
+constexpr Millis kPollRetryDelay{200};
+/// Delay of the next poll while control has not stored all listed run ends.
+constexpr Millis kPollDelayWhileUnstored{150};
+/// Shortest time from a response to the next poll.
+constexpr Millis kMinPollPause{20};
+
+}  // namespace
+
+bool WorkflowRunner::NeedsPoll() const {
+  if (m_is_deregistered)
+    return false;
+  return !m_has_polled || !m_runs.empty() || m_has_listed_ends ||
+         m_events.last_end() > m_events.stored_end();
+}
+
+Millis WorkflowRunner::MaxPollWait() const {
+  if (!m_has_polled)
+    return Millis(0);
+  bool has_best_effort = false;
+  bool has_latency_critical = false;
+  for (const auto& [task, local] : m_runs) {
+    has_best_effort |= local.instruction.is_best_effort;
+    has_latency_critical |= local.instruction.latency_target > Millis(0);
+    if (local.stage == RunStage::kUnconfirmed ||
+        local.stage == RunStage::kStopped)
+      return kMinPollPause;
+  }
+  return has_best_effort && has_latency_critical ? kMaxPollWaitForLatency
+                                                 : kMaxPollWait;
+}
+
+void WorkflowRunner::Poll() {
+  const Millis now = m_clock.Now();
+  PollRequest request;
+  // A poll without a response may have extended the worker's lease. No further
+  // extension is sent until the worker responds, so that an unresponsive
+  // worker's lease expires and its runs count as ended.
+  if (m_has_last_poll_response)
+    request.lease_deadline = m_lease.TakeExtension(now);
+  // Ends are acknowledged only right after a response that listed some: a
+  // worker incarnation that is not known here yet numbers its ends from 1
+  // again.
+  request.acknowledged_ends = m_has_listed_ends ? m_events.stored_end() : 0;
+  request.wait = MaxPollWait();
+  request.fencing_token = m_term;
+  m_is_polling = true;
+  const bool has_no_earlier_starts = !m_unconfirmed_starts.HasEarlierStarts();
+  m_client.Poll(request,
+                [this, now, has_no_earlier_starts,
+                 incarnation_number = m_incarnation_number](
+                    const tl::expected<PollResponse, PollFailure>& response) {
+                  if (incarnation_number == m_incarnation_number)
+                    OnPollResponse(now, has_no_earlier_starts, response);
+                });
+}
+
+void WorkflowRunner::OnPollResponse(
+    Millis sent_at,
+    bool has_no_earlier_starts,
+    const tl::expected<PollResponse, PollFailure>& response) {
+  const Millis now = m_clock.Now();
+  m_is_polling = false;
+  m_has_last_poll_response = response.has_value();
+  m_has_listed_ends = false;
+  m_next_poll = now + (response ? kMinPollPause : kPollRetryDelay);
+  if (!response) {
+    m_counters.Add("agent_unanswered_looks");
+    if (response.error() == PollFailure::kConnectionLost)
+      m_lost_runs.OnConnectionLost(now);
+    return;
+  }
+  // Another incarnation with the same worker id responded. It will announce
+  // itself.
+  if (response->start_time_unix_ms != 0 &&
+      response->start_time_unix_ms !=
+          m_worker->worker_incarnation.start_time_unix_ms) {
+    m_counters.Add("agent_looks_of_other_life");
+    return;
+  }
+  m_last_contact = now;
+  m_is_lease_expired = false;
+  m_lost_runs.OnWorkerResponsive();
+  m_lease.OnWorkerClock(response->worker_clock, now);
+  m_has_listed_ends = !response->ended.empty();
+  ProcessEndedRuns(*response);
+  ProcessListedRuns(*response, sent_at);
+  // A new worker incarnation may have executed starts for the earlier one. It
+  // has to be polled after those are stopped, before control learns of it.
+  m_has_polled |= has_no_earlier_starts;
+  // A worker responds at once while it lists ended runs, so that the next poll
+  // is delayed until control may have stored them.
+  if (m_events.last_end() > m_events.stored_end())
+    m_next_poll = now + kPollDelayWhileUnstored;
+  m_speed_limiter.OnPollResponse(*response);
+  m_speed_limiter.Send(m_term);
+  if (m_is_report_urgent && IsReportDue())
+    SendReport();
+}
+
+void WorkflowRunner::ProcessEndedRuns(const PollResponse& response) {
+  for (const EndedRun& listed_run : response.ended) {
+    if (listed_run.number <= m_events.last_end())
+      continue;
+    m_lost_runs.Remove(listed_run.task, listed_run.run);
+    EndRun(listed_run.task, listed_run.run, listed_run.kind,
+           listed_run.checkpoint, listed_run.number);
+  }
+}
+
+void WorkflowRunner::ProcessListedRuns(const PollResponse& response,
+                                       Millis sent_at) {
+  const Millis now = m_clock.Now();
+  std::set<TaskName> listed_runs;
+  for (const RunStatus& listed_run : response.running) {
+    listed_runs.insert(listed_run.task);
+    m_lost_runs.Remove(listed_run.task, listed_run.run);
+    const auto [it, is_new] = m_runs.try_emplace(listed_run.task);
+    LocalRun& local = it->second;
+    local.is_listed = true;
+    if (!is_new && local.run != listed_run.run)
+      continue;
+    const bool is_newly_confirmed = is_new ||
+                                    local.stage == RunStage::kStarting ||
+                                    local.stage == RunStage::kUnconfirmed;
+    if (is_newly_confirmed) {
+      local.run = listed_run.run;
+      local.stage = RunStage::kRunning;
+      local.since = now;
+      local.progress_at = now;
+      if (is_new)
+        local.started_at = now;
+      // A run found after a restart of the agent may have any speed limit.
+      if (is_new)
+        local.speed_limit_percent = -1;
+      m_newly_confirmed.push_back({listed_run.task, listed_run.run});
+      m_is_report_urgent = true;
+    }
+    UpdateProgress(local, listed_run.percent, now);
+    local.is_confirmed = true;
+  }
+  ResolveUnlistedRuns(listed_runs, sent_at);
+}
+
+void WorkflowRunner::ResolveUnlistedRuns(const std::set<TaskName>& listed_runs,
+                                         Millis sent_at) {
+  std::vector<TaskName> unconfirmed;
+  std::vector<TaskName> stopped_runs;
+  for (auto& [task, local] : m_runs) {
+    if (listed_runs.contains(task) || sent_at <= local.since)
+      continue;
+    if (local.stage == RunStage::kRunning ||
+        local.stage == RunStage::kUnconfirmed) {
+      unconfirmed.push_back(task);
+    } else if (local.stage == RunStage::kStopped &&
+               sent_at > local.since + m_options.stop_timeout) {
+      stopped_runs.push_back(task);
+    }
+  }
+  // After the response to a stop the worker never starts a run that it does not
+  // list now.
+  for (const TaskName& task : unconfirmed)
+    StopRun(task);
+  for (const TaskName& task : stopped_runs) {
+    const LocalRun& local = m_runs.at(task);
+    EndRun(task, local.run, RunOutcome::kRefused, local.instruction.checkpoint,
+           0);
+  }
+}
+
+}  // namespace fulmarrock
