--- a/tests/refused_proposals/refused_proposals_test.cc
+++ b/tests/refused_proposals/refused_proposals_test.cc
@@ -58,7 +58,7 @@
     WorkflowCluster cluster(3, 2, 1);
     PlayWithRefusal(cluster, kind, begin);
     INFO("refused " << begin.count() << " ms after the submission");
-    CHECK(cluster.FindViolation() == "");
+    CHECK(cluster.FindViolation().empty());
   }
 }
 
@@ -103,7 +103,7 @@
   cluster.Run(Millis(2'000));
   cluster.log.SetDelay(Millis(2));
   cluster.Run(Millis(12'000));
-  CHECK(cluster.FindViolation() == "");
+  CHECK(cluster.FindViolation().empty());
   CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
 }
 
--- a/tests/silent_restart/silent_restart_test.cc
+++ b/tests/silent_restart/silent_restart_test.cc
@@ -21,7 +21,7 @@
   silent.worker.mode = FakeRunWorker::Mode::kNoResponses;
   cluster.Submit(MakeChain(7, {6}));
   cluster.Run(Millis(9'000));
-  CHECK(cluster.FindViolation() == "");
+  CHECK(cluster.FindViolation().empty());
 }
 
 }  // namespace fulmarrock::test
--- a/tests/workflow/crashing_task_test.cc
+++ b/tests/workflow/crashing_task_test.cc
@@ -50,7 +50,7 @@
   CHECK(cluster.PhaseOf(kFaulty) == WorkflowPhase::kFailed);
   CHECK(CountStarts(cluster, kCrashing) == 2);
   CHECK(cluster.CountWorkerCrashes() == 2);
-  CHECK(cluster.FindViolation() == "");
+  CHECK(cluster.FindViolation().empty());
 }
 
 // Guards against workflows that fail because their tasks ran beside one that
