--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,8 +13,8 @@
 from executor import Executor
 from record import find_twice
 
-JOBS = [f"00000000000000a{i}" for i in range(8)]
-WIDTH = 80
+JOBS = [f"00000000000000{i:02x}" for i in range(20)]
+WIDTH = 32
 COUNT = WIDTH * len(JOBS)
 WORK_S = 8.0
 
