--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -151,10 +151,10 @@
     def __init__(self, record, control=3, entries=1, agents=2, bounds=None):
         self.record = record
         self.bounds = bounds or {"hold_max_ms": 10000, "stop_ms": 400}
-        self.folder = tempfile.mkdtemp(prefix="review-")
         self.net = random.randint(16, 200)
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.roles = tomllib.load(file)["roles"]
+        self.folder = tempfile.mkdtemp(prefix="review-")
         self.nodes = [Node(self, role, i)
                       for role, count in (("control", control),
                                           ("entry", entries),
@@ -199,14 +199,17 @@
         for node in self.nodes:
             self.tasks.append(asyncio.create_task(node.keep_running()))
 
-    def stop(self):
+    async def stop(self):
+        """Ends all processes, also one that is just being started."""
+        for _ in range(2):
+            for node in self.nodes:
+                node.should_run = False
+                node.signal(signal.SIGCONT)
+                node.signal(signal.SIGKILL)
+            await asyncio.sleep(0.5)
         for task in self.tasks:
             task.cancel()
-        for node in self.nodes:
-            node.signal(signal.SIGCONT)
-            node.signal(signal.SIGKILL)
-        if not os.environ.get("KEEP"):
-            shutil.rmtree(self.folder, ignore_errors=True)
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     # The operator.
 
@@ -317,19 +320,21 @@
     deployments = []
 
     async def main():
+        run = asyncio.ensure_future(case(record, has_trouble, deployments))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, run.cancel)
         try:
-            return await asyncio.wait_for(
-                case(record, has_trouble, deployments), limit_s)
+            return await asyncio.wait_for(run, limit_s)
+        except asyncio.CancelledError:
+            record.write("result", text="the case was ended from outside")
         except asyncio.TimeoutError:
             record.write("result", text="the case took too long")
-            return 2
-        except OSError as error:
-            record.write("result", text=f"could not run: {error}")
-            return 2
+        except Exception as error:  # pylint: disable=broad-except
+            record.write("result", text=f"could not run: {error!r}")
         finally:
             for deployment in deployments:
-                deployment.stop()
-            await asyncio.sleep(0.2)
+                await deployment.stop()
+        return 2
 
     status = asyncio.run(main())
     print({0: "the rule held", 1: "the rule is broken",
