--- a/review/1/case.py
+++ b/review/1/case.py
@@ -63,4 +63,4 @@
     return 1 if breaks else 0
 
 
-run_case(case)
+run_case(case, sys.argv[1] if len(sys.argv) > 1 else "record.txt")
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -64,4 +64,4 @@
     return 1 if is_broken else 0
 
 
-run_case(case)
+run_case(case, sys.argv[1] if len(sys.argv) > 1 else "record.txt")
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -20,7 +20,7 @@
     os.path.abspath(__file__))))
 RESTART_S = 0.3
 HOST = "jobs.example"
-PREFIX = "/work/"
+PREFIX = "/jobs/"
 
 
 def render(template, fields):
@@ -310,12 +310,17 @@
         return state
 
 
-def run_case(case, limit_s=115):
-    """Runs the coroutine function `case`, which returns the exit status."""
+# Exit status of a case that broke its rule. run.sh turns it into 1, and any
+# other status but 0 into 2, so that an error is not taken for the fault.
+BROKEN = 11
+
+
+def run_case(case, record_path, limit_s=110):
+    """Runs the coroutine function `case`, which returns 0 if the rule held, 1
+    if it was broken, and 2 if the case could not run."""
     from record import Record
 
-    folder = os.path.dirname(os.path.abspath(sys.argv[0]))
-    record = Record(os.path.join(folder, "record.txt"))
+    record = Record(record_path)
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     deployments = []
 
@@ -339,4 +344,4 @@
     status = asyncio.run(main())
     print({0: "the rule held", 1: "the rule is broken",
            2: "the case could not run"}[status])
-    sys.exit(status)
+    sys.exit(BROKEN if status == 1 else status)
--- a/review/common/executor.py
+++ b/review/common/executor.py
@@ -90,6 +90,10 @@
         self.barred = {}
         self.fencing_token = 0
         self.lease_until = 0
+        # How often the lease has lapsed, and the count at each end.
+        self.lapses = 0
+        self.has_lease = False
+        self.lapses_at_end = {}
         self.end_added = asyncio.Event()
         self.is_registered = asyncio.Event()
         self.is_up = True
@@ -150,6 +154,7 @@
             if not self.is_up:
                 continue
             now = time.monotonic()
+            self.watch_lease()
             if self.runs and self.clock_ms() >= self.lease_until:
                 for task in list(self.runs):
                     self.end_run(task, "lapsed")
@@ -163,6 +168,12 @@
                 elif now - run.started >= run.step["work_s"]:
                     self.end_work(task, run)
 
+    def watch_lease(self):
+        had_lease = self.has_lease
+        self.has_lease = self.clock_ms() < self.lease_until
+        if had_lease and not self.has_lease:
+            self.lapses += 1
+
     def members_of(self, task):
         """Runs of the same step here."""
         prefix = task.rpartition(".")[0] + "."
@@ -194,6 +205,7 @@
         run = self.runs.pop(task)
         self.barred[task] = max(self.barred.get(task, 0), run.number)
         self.end_number += 1
+        self.lapses_at_end[self.end_number] = self.lapses
         self.ends.append([self.end_number, task, run.number, how, ""])
         self.record.write("end", executor=self.name, id=self.id, life=self.lives, task=task,
                           run=run.number, how=how, n=self.end_number)
@@ -285,11 +297,13 @@
 
     async def hold(self, body):
         acked = body.get("acked_up_to", 0)
+        self.watch_lease()
         for end in self.ends:
             if end[0] <= acked:
                 self.record.write("acked", executor=self.name, id=self.id, life=self.lives,
                                   task=end[1], run=end[2], how=end[3],
-                                  n=end[0])
+                                  n=end[0], lapsed_between=self.lapses
+                                  > self.lapses_at_end[end[0]])
         self.ends = [end for end in self.ends if end[0] > acked]
         if "until_ms" in body:
             self.extend(body["until_ms"])
--- a/review/common/record.py
+++ b/review/common/record.py
@@ -24,12 +24,14 @@
 def find_twice(entries):
     """Returns the entries that break the rule TWICE: a run that begins while
     another run of its task is at work, or after a run has ended `done` whose
-    end is taken note of then or later."""
+    end is taken note of then or later. An end is taken note of when it is
+    acknowledged, unless the lease of its executor lapsed between the two."""
     at_work = {}
     done = {}
     noted = set()
     for entry in entries:
-        if entry["kind"] == "acked" and entry["how"] == "done":
+        if (entry["kind"] == "acked" and entry["how"] == "done"
+                and not entry["lapsed_between"]):
             noted.add((entry["executor"], entry["life"], entry["n"]))
     breaks = []
     for entry in entries:
