Agent: Apply a deregistration only to the incarnation that sent it

Cause: WorkflowRunner::OnDeregistration compared the id only, and the adapter did not read the body, so that the start time never reached the agent. The body is decoded now, and a deregistration counts only with the start time of the current incarnation. One without a start time counts only while the worker drains, which it does before each planned end. A worker that announces itself after a deregistration is polled and gets work again.

--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -36,24 +36,11 @@
                       std::move(make_speed_limit_policy)) {}
 
 bool WorkflowRunner::OnAnnouncement(const WorkerAnnouncement& announcement) {
-  const Millis now = m_clock.Now();
   if (m_worker &&
       m_worker->worker_incarnation == announcement.worker_incarnation) {
-    if (announcement.sequence <= m_worker->sequence || m_is_deregistered)
+    if (announcement.sequence <= m_worker->sequence)
       return false;
-    m_is_report_urgent |= announcement.is_draining != m_worker->is_draining;
-    if (announcement.attributes.capacity() != m_worker->attributes.capacity())
-      OnCapacityChange(announcement);
-    if (announcement.is_draining && !m_worker->is_draining) {
-      m_decisions.Write(DecisionLine("worker_leaving")
-                            .With("life", announcement.worker_incarnation.id)
-                            .With("runs", static_cast<int64_t>(m_runs.size())));
-    }
-    // A worker that is draining cannot accept runs again.
-    const bool is_draining = m_worker->is_draining || announcement.is_draining;
-    m_worker = announcement;
-    m_worker->is_draining = is_draining;
-    m_lost_runs.OnWorkerResponsive();
+    UpdateWorker(announcement);
   } else {
     const bool is_older =
         m_worker && announcement.worker_incarnation.start_time_unix_ms <=
@@ -64,11 +51,41 @@
     }
     AdoptWorkerIncarnation(announcement);
   }
-  m_last_contact = now;
+  m_last_contact = m_clock.Now();
   m_is_lease_expired = false;
   return true;
 }
 
+void WorkflowRunner::UpdateWorker(const WorkerAnnouncement& announcement) {
+  if (m_is_deregistered)
+    ResumeDeregisteredWorker();
+  m_is_report_urgent |= announcement.is_draining != m_worker->is_draining;
+  if (announcement.attributes.capacity() != m_worker->attributes.capacity())
+    OnCapacityChange(announcement);
+  if (announcement.is_draining && !m_worker->is_draining) {
+    m_decisions.Write(DecisionLine("worker_leaving")
+                          .With("life", announcement.worker_incarnation.id)
+                          .With("runs", static_cast<int64_t>(m_runs.size())));
+  }
+  // A worker that is draining cannot accept runs again.
+  const bool is_draining = m_worker->is_draining || announcement.is_draining;
+  m_worker = announcement;
+  m_worker->is_draining = is_draining;
+  m_lost_runs.OnWorkerResponsive();
+}
+
+void WorkflowRunner::ResumeDeregisteredWorker() {
+  m_counters.Add("agent_resumed_workers");
+  m_decisions.Write(DecisionLine("worker_resumed")
+                        .With("life", m_worker->worker_incarnation.id));
+  m_is_deregistered = false;
+  // Control released the worker's runs. The worker is polled before it gets
+  // others, so that those which are still active are found and stopped.
+  m_has_polled = false;
+  m_needs_full_report = true;
+  m_is_report_urgent = true;
+}
+
 void WorkflowRunner::OnCapacityChange(const WorkerAnnouncement& announcement) {
   m_is_report_urgent = true;
   m_decisions.Write(
@@ -115,16 +132,37 @@
   m_is_report_urgent = true;
 }
 
-void WorkflowRunner::OnDeregistration(std::string_view id) {
-  if (!m_worker || m_worker->worker_incarnation.id != id)
-    return;
-  m_decisions.Write(DecisionLine("worker_left")
-                        .With("life", m_worker->worker_incarnation.id)
-                        .With("runs", static_cast<int64_t>(m_runs.size())));
+bool WorkflowRunner::IsFromCurrentWorker(
+    const WorkerDeregistration& deregistration) const {
+  if (!m_worker || m_worker->worker_incarnation.id != deregistration.id)
+    return false;
+  // A worker drains before a planned end, so that a deregistration without a
+  // start time is from an earlier incarnation unless this one is draining.
+  if (!deregistration.start_time_unix_ms)
+    return m_worker->is_draining;
+  return *deregistration.start_time_unix_ms ==
+         m_worker->worker_incarnation.start_time_unix_ms;
+}
+
+bool WorkflowRunner::OnDeregistration(
+    const WorkerDeregistration& deregistration) {
+  const bool is_current = IsFromCurrentWorker(deregistration);
+  m_decisions.Write(
+      DecisionLine(is_current ? "worker_left" : "deregistration_ignored")
+          .With("life", deregistration.id)
+          .With("born", deregistration.start_time_unix_ms.value_or(0))
+          .With("current_born",
+                m_worker ? m_worker->worker_incarnation.start_time_unix_ms : 0)
+          .With("runs", static_cast<int64_t>(m_runs.size())));
+  if (!is_current) {
+    m_counters.Add("agent_ignored_deregistrations");
+    return false;
+  }
   m_is_deregistered = true;
   m_runs.clear();
   m_unconfirmed_starts.OnDeregistration();
   m_is_report_urgent = true;
+  return true;
 }
 
 void WorkflowRunner::OnMessage(const NodeId& from, const Message& message) {
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -34,6 +34,14 @@
   std::optional<Millis> worker_clock;
 };
 
+/// Last message of a worker before its planned end.
+struct WorkerDeregistration {
+  std::string id;
+  /// Start time of the incarnation that ends; not set by workers that do not
+  /// include it.
+  std::optional<int64_t> start_time_unix_ms;
+};
+
 /// Settings of a runner.
 struct WorkflowRunnerOptions {
   NodeId id;
@@ -63,8 +71,10 @@
   /// was handled before.
   bool OnAnnouncement(const WorkerAnnouncement& announcement);
 
-  /// The worker with this id has deregistered.
-  void OnDeregistration(std::string_view id);
+  /// Handles the deregistration of a worker. It may be delayed, so that it is
+  /// ignored unless the current incarnation sent it. Returns false if it was
+  /// ignored.
+  bool OnDeregistration(const WorkerDeregistration& deregistration);
 
   /// Adds nodes that may be members of the control group.
   void AddMembers(const std::vector<NodeId>& members) {
@@ -81,6 +91,11 @@
 
  private:
   void AdoptWorkerIncarnation(const WorkerAnnouncement& announcement);
+  /// The current worker incarnation announces itself again.
+  void UpdateWorker(const WorkerAnnouncement& announcement);
+  /// The current worker incarnation announces itself after its deregistration.
+  void ResumeDeregisteredWorker();
+  bool IsFromCurrentWorker(const WorkerDeregistration& deregistration) const;
   /// The worker announces a capacity that differs from the last one. Control
   /// has to learn of it before it places the next run there.
   void OnCapacityChange(const WorkerAnnouncement& announcement);
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -141,6 +141,24 @@
   }
 }
 
+// Guards against a delayed deregistration that is applied to a later
+// incarnation of the worker, because its start time was not read.
+TEST_CASE(
+    "A deregistration tells which incarnation sent it, if it has a body") {
+  const Result<WorkerDeregistration> whole =
+      DecodeDeregistration(kAnnouncement, "i-1");
+  REQUIRE(whole);
+  CHECK(whole->id == "i-1");
+  CHECK(whole->start_time_unix_ms == 1'700'000'000'000);
+  const Result<WorkerDeregistration> empty = DecodeDeregistration("", "i-1");
+  REQUIRE(empty);
+  CHECK_FALSE(empty->start_time_unix_ms.has_value());
+  for (const char* body : {"{", "[]", R"({"born":"x"})", R"({"born":-1})"}) {
+    INFO(body);
+    CHECK_FALSE(DecodeDeregistration(body, "i-1"));
+  }
+}
+
 TEST_CASE("The response to a poll lists running and ended runs") {
   const Result<PollResponse> answer = DecodePoll(
       R"({"clock_ms":482113,"born":5,"running":[["5c0e7a21d94b36f8.0.1.17",2,
--- a/tests/workflow/workflow_cluster_test.cc
+++ b/tests/workflow/workflow_cluster_test.cc
@@ -126,7 +126,9 @@
   cluster.Run(Millis(50));
   cluster.network.Heal(agent.node, "control0");
   agent.worker.mode = Mode::kDown;
-  agent.runner->OnDeregistration(agent.worker.worker_incarnation.id);
+  agent.runner->OnDeregistration(
+      {agent.worker.worker_incarnation.id,
+       agent.worker.worker_incarnation.start_time_unix_ms});
   cluster.Run(Millis(2'000));
   CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
   CHECK(cluster.Executions().size() == 1);
