Control: Ignore late reports of an agent process that was replaced

Control took each report whose agent incarnation differed from the last one for that of a new process. The last report of a process, delayed on its connection, may say that all runs of the worker have ended; control released the runs that the next process had found active.

The incarnations are random numbers without an order, and the time of day may jump, so that control remembers the last eight processes that were replaced and ignores their reports unless they were sent after the newest one. The send time keeps a current process from being ignored when a report of its predecessor arrived between two of its own. Not covered: the first report that a new leader gets of an agent, if it is a late one.

--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -13,14 +13,30 @@
 /// entry.
 constexpr size_t kMaxEvents = 500;
 
+/// Most replaced agent processes that are remembered. Only reports of the last
+/// few can still be on their way.
+constexpr size_t kMaxReplacedProcesses = 8;
+
 }  // namespace
 
+bool WorkerLink::IsFromReplacedProcess(const WorkerReport& report) const {
+  // The send time tells a delayed report from one of the current process that
+  // counts as replaced, because a report of its predecessor came after its own.
+  return report.sent_at <= m_report.sent_at &&
+         std::find(m_replaced_processes.begin(), m_replaced_processes.end(),
+                   report.agent_incarnation) != m_replaced_processes.end();
+}
+
 void WorkerLink::OnReport(const WorkerReport& report,
                           WorkerNumber worker,
                           Millis now) {
   const bool is_new_process =
       !m_has_report || report.agent_incarnation != m_report.agent_incarnation;
   if (is_new_process) {
+    if (m_has_report)
+      m_replaced_processes.push_back(m_report.agent_incarnation);
+    if (m_replaced_processes.size() > kMaxReplacedProcesses)
+      m_replaced_processes.pop_front();
     m_proposed_sequence = 0;
     m_stored_sequence = 0;
     m_needs_full_report = true;
--- a/source/control/worker_link.h
+++ b/source/control/worker_link.h
@@ -1,6 +1,7 @@
 #ifndef SOURCE_CONTROL_WORKER_LINK_H_
 #define SOURCE_CONTROL_WORKER_LINK_H_
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -20,6 +21,9 @@
   WorkerLink(NodeId agent, const WorkflowState& state)
       : m_agent(std::move(agent)), m_state(state) {}
 
+  /// Whether an agent process that a later one has replaced sent the report.
+  bool IsFromReplacedProcess(const WorkerReport& report) const;
+
   /// Handles a report of the agent's current process. `worker` is the worker
   /// incarnation that it describes, or kNoWorkerNumber while that one is not
   /// registered.
@@ -116,6 +120,8 @@
   WorkerReport m_report;
   bool m_has_report = false;
   bool m_is_releasing = false;
+  // Agent incarnations whose reports were followed by those of another one.
+  std::deque<Incarnation> m_replaced_processes;
   Incarnation m_attached_agent_incarnation = 0;
   Millis m_last_report_at;
   bool m_needs_full_report = true;
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -99,6 +99,10 @@
   const bool is_registered =
       entry && entry->worker_incarnation == report.worker_incarnation;
   WorkerLink& link = LinkOf(from);
+  if (link.IsFromReplacedProcess(report)) {
+    m_counters.Add("control_reports_of_replaced_agents");
+    return;
+  }
   if (!is_registered) {
     OnUnregisteredReport(link, entry, report, next, now);
     return;
