Agent: Tell the responses of another incarnation to a start

A worker that had started again under its id, and had not announced itself yet, confirmed a start that was meant for its predecessor. Its clock, which counts from its own start, was taken for that of its predecessor, so that the lease seemed to last until the new clock reached the old deadline: if the worker then went silent, its tasks waited for as long as its predecessor had lived (100 s in the test).

The start time is decoded from the response. One of another incarnation counts as no response, and the agent assumes, as for a poll that reaches another incarnation from now on, that it got the longest lease.

Evidence: "A start that another incarnation confirms does not change the lease" fails before (the workflow is still running after 34 s) and passes now, without two runs of a task at a time.

--- a/source/agent/run_client.h
+++ b/source/agent/run_client.h
@@ -29,6 +29,9 @@
 struct StartResponse {
   StartResult result = StartResult::kUnknown;
   std::optional<Millis> worker_clock;
+  /// Start time of the worker incarnation that responded; zero when not
+  /// included.
+  int64_t start_time_unix_ms = 0;
 };
 
 /// A run as listed in a poll response.
--- a/source/agent/worker_lease.cc
+++ b/source/agent/worker_lease.cc
@@ -32,6 +32,11 @@
   m_unknown_lease_until = has_same_id ? now + LongestExtension() : now;
 }
 
+void WorkerLease::OnOtherIncarnation(Millis now) {
+  m_unknown_lease_until =
+      std::max(m_unknown_lease_until, now + LongestExtension());
+}
+
 void WorkerLease::OnGranted(Millis sent_at, Millis duration) {
   m_granted_until = std::max(m_granted_until, sent_at + duration);
 }
--- a/source/agent/worker_lease.h
+++ b/source/agent/worker_lease.h
@@ -23,6 +23,10 @@
   /// may have extended its lease.
   void ResetWorker(Millis now, bool has_same_id);
 
+  /// Another incarnation under the worker's id received a request that was
+  /// meant for the current one and may have given it the longest lease.
+  void OnOtherIncarnation(Millis now);
+
   /// Control granted a lease of length `duration` for a report that was sent at
   /// `sent_at`.
   void OnGranted(Millis sent_at, Millis duration);
--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -317,6 +317,14 @@
                                      RunNumber run,
                                      const StartResponse& response) {
   const Millis now = m_clock.Now();
+  if (IsOfOtherIncarnation(response.start_time_unix_ms)) {
+    // The run may execute there. It is stopped when that incarnation announces
+    // itself.
+    m_counters.Add("agent_starts_of_other_life");
+    m_lease.OnOtherIncarnation(now);
+    OnStartResponse(task, run, StartResponse());
+    return;
+  }
   if (response.worker_clock) {
     m_lease.OnWorkerClock(*response.worker_clock, now);
     m_last_contact = now;
@@ -443,6 +451,11 @@
     SendReport();
 }
 
+bool WorkflowRunner::IsOfOtherIncarnation(int64_t start_time_unix_ms) const {
+  return start_time_unix_ms != 0 &&
+         start_time_unix_ms != m_worker->worker_incarnation.start_time_unix_ms;
+}
+
 bool WorkflowRunner::IsWorkerReachable() const {
   return m_clock.Now() - m_last_contact < kReachabilityTimeout;
 }
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -135,6 +135,9 @@
   void ResolveUnlistedRuns(const std::set<TaskName>& listed_runs,
                            Millis sent_at);
 
+  /// Whether another incarnation under the worker's id sent a response that
+  /// includes this start time. Zero stands for none.
+  bool IsOfOtherIncarnation(int64_t start_time_unix_ms) const;
   bool IsWorkerReachable() const;
   bool HaveAllRunsEnded() const;
   void CheckLeaseExpiry();
--- a/source/agent/workflow_runner_polls.cc
+++ b/source/agent/workflow_runner_polls.cc
@@ -87,10 +87,9 @@
   }
   // Another incarnation with the same worker id responded. It will announce
   // itself.
-  if (response->start_time_unix_ms != 0 &&
-      response->start_time_unix_ms !=
-          m_worker->worker_incarnation.start_time_unix_ms) {
+  if (IsOfOtherIncarnation(response->start_time_unix_ms)) {
     m_counters.Add("agent_looks_of_other_life");
+    m_lease.OnOtherIncarnation(now);
     return;
   }
   m_last_contact = now;
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -181,6 +181,8 @@
   CHECK(DecodeStart(409, R"({"clock_ms":4,"reason":"old"})").result ==
         StartResult::kStale);
   CHECK(DecodeStart(421, "").result == StartResult::kStale);
+  CHECK(DecodeStart(200, R"({"clock_ms":4,"born":9})").start_time_unix_ms == 9);
+  CHECK(DecodeStart(200, R"({"clock_ms":4})").start_time_unix_ms == 0);
   CHECK(DecodeStart(503, "").result == StartResult::kDeclined);
   CHECK(DecodeStart(500, "").result == StartResult::kUnknown);
 }
--- a/tests/support/fake_run_worker.cc
+++ b/tests/support/fake_run_worker.cc
@@ -89,6 +89,7 @@
                                    const Resources& capacity) {
   StartResponse response;
   response.worker_clock = WorkerClock();
+  response.start_time_unix_ms = worker_incarnation.start_time_unix_ms;
   const auto running = m_running.find(request.task);
   if (running != m_running.end() && running->second.run == request.run) {
     response.result = StartResult::kStarted;
--- a/tests/workflow/worker_lease_test.cc
+++ b/tests/workflow/worker_lease_test.cc
@@ -64,6 +64,20 @@
   CHECK(lease.HasExpired(restart + kStep + Millis(400)));
 }
 
+// Guards against a run that continues in a worker that restarted silently while
+// its task is started elsewhere: the deadline of a request for the earlier
+// incarnation is far in the future on the new clock.
+TEST_CASE("A request that another incarnation received may give it a lease") {
+  WorkerLease lease(kStart, kStep);
+  lease.OnGranted(kStart, Millis(60'000));
+  const Millis sent = kStart + Millis(20'000);
+  lease.OnWorkerClock(SlowClock(sent), sent);
+  lease.TakeExtension(sent);
+  lease.OnOtherIncarnation(sent);
+  CHECK_FALSE(lease.HasExpired(sent + kStep));
+  CHECK(lease.HasExpired(sent + kStep + Millis(400)));
+}
+
 TEST_CASE(
     "A new agent process assumes that its predecessor just extended the "
     "lease") {
--- a/tests/workflow/workflow_cluster_test.cc
+++ b/tests/workflow/workflow_cluster_test.cc
@@ -282,6 +282,29 @@
   CHECK(cluster.FindViolation().empty());
 }
 
+// Guards against tasks that wait for a lease that never expires: the clock in
+// the response to a start, from an incarnation that had started silently under
+// the worker's id, was taken for that of its predecessor.
+TEST_CASE(
+    "A start that another incarnation confirms does not change the lease") {
+  WorkflowCluster cluster(3, 3, 1);
+  cluster.SetQueueConfiguration(1);
+  cluster.Run(Millis(100'000));
+  for (const auto& agent : cluster.agents)
+    agent->worker.duration = Millis(20'000);
+  auto& silent = *cluster.agents[0];
+  silent.worker.Restart();
+  cluster.Submit(MakeChain(7, {6}));
+  cluster.Run(Millis(40));
+  REQUIRE(silent.worker.running_count() > 0);
+  silent.worker.mode = Mode::kNoResponses;
+  cluster.Run(Millis(9'000));
+  CHECK(cluster.FindViolation().empty());
+  cluster.Run(Millis(25'000));
+  CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
+  CHECK(cluster.FindViolation().empty());
+}
+
 TEST_CASE("An isolated worker continues its runs until its lease expires") {
   WorkflowCluster cluster(3, 2, 1);
   cluster.SetQueueConfiguration(1);
