Agent: Use a worker only after it has confirmed its identity

Cause: an announcement was believed because its start time was later than the one of the current worker. The agent adopted it, dropped the runs of its real worker and ignored the heartbeats of that worker as those of an earlier incarnation. A start time in the far future, also under the id of the real worker, locked out every later incarnation.

An announced incarnation is a candidate now. The agent sends an identity request (a poll that changes nothing) to its address and adopts it when it responds under its id and with its start time; until then the current worker stays, and no run is started at an address with a candidate. A confirmed incarnation at the address of the current one is adopted even if its start time is earlier, since the time of day may have been wrong. An announcement under the current identity counts only with the same address and service, and with a sequence number that a worker can have reached by counting.

Ruled out: a check of the service or of the address alone, which another program may share; the order of start times, which a wrong clock breaks.

--- a/source/agent/run_client.h
+++ b/source/agent/run_client.h
@@ -83,6 +83,14 @@
   kConnectionLost,  ///< The connection broke, or none can be opened.
 };
 
+/// What a response to an identity request says about the worker that sent it.
+enum class WorkerIdentity : uint8_t {
+  kConfirmed,   ///< It is the incarnation that was asked for.
+  kIdOnly,      ///< It has the right id, and did not include its start time.
+  kOther,       ///< It is another incarnation.
+  kNoResponse,  ///< None arrived, or it does not tell.
+};
+
 /// A request to start a run.
 struct StartRequest {
   TaskName task;
@@ -110,6 +118,15 @@
   virtual void SetWorker(const WorkerIncarnation& worker_incarnation,
                          const std::string& address) = 0;
 
+  using IdentifyDone = std::function<void(WorkerIdentity)>;
+
+  /// Asks the worker at an address whether it is this incarnation. Does not
+  /// depend on SetWorker and changes nothing at the worker.
+  virtual void Identify(const WorkerIncarnation& worker_incarnation,
+                        const std::string& address,
+                        uint64_t fencing_token,
+                        IdentifyDone done) = 0;
+
   virtual void Start(const StartRequest& request, StartDone done) = 0;
   virtual void Stop(const TaskName& task,
                     RunNumber run,
--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -11,6 +11,20 @@
 constexpr Millis kStopRetryDelay{500};
 constexpr Millis kReachabilityTimeout{2'500};
 
+/// Largest step between the sequence numbers of two announcements of a worker.
+/// A worker sends about one a second.
+constexpr uint64_t kMaxSequenceStep = 1'000'000;
+
+/// Whether an announcement with the identity of the current worker is one that
+/// this worker sent after `current`. Its address and service never change.
+bool IsNextAnnouncement(const WorkerAnnouncement& current,
+                        const WorkerAnnouncement& announcement) {
+  return announcement.sequence > current.sequence &&
+         announcement.sequence - current.sequence <= kMaxSequenceStep &&
+         announcement.address == current.address &&
+         announcement.attributes.service == current.attributes.service;
+}
+
 }  // namespace
 
 WorkflowRunner::WorkflowRunner(
@@ -26,6 +40,12 @@
       m_client(client),
       m_decisions(decisions),
       m_leader_tracker(m_options.control_members),
+      m_candidates(clock,
+                   client,
+                   [this](const WorkerAnnouncement& announcement,
+                          WorkerIdentity identity) {
+                     OnConfirmedCandidate(announcement, identity);
+                   }),
       m_started_at(clock.Now()),
       m_lease(clock.Now(), m_options.max_lease_extension),
       m_unconfirmed_starts(clock, client, m_options.stop_timeout),
@@ -38,24 +58,46 @@
 bool WorkflowRunner::OnAnnouncement(const WorkerAnnouncement& announcement) {
   if (m_worker &&
       m_worker->worker_incarnation == announcement.worker_incarnation) {
-    if (announcement.sequence <= m_worker->sequence)
-      return false;
-    UpdateWorker(announcement);
-  } else {
-    const bool is_older =
-        m_worker && announcement.worker_incarnation.start_time_unix_ms <=
-                        m_worker->worker_incarnation.start_time_unix_ms;
-    if (is_older) {
-      m_counters.Add("agent_old_announcements");
+    if (!IsNextAnnouncement(*m_worker, announcement)) {
+      m_counters.Add("agent_ignored_announcements");
       return false;
     }
-    AdoptWorkerIncarnation(announcement);
+    UpdateWorker(announcement);
+    m_last_contact = m_clock.Now();
+    m_is_lease_expired = false;
+    return true;
   }
-  m_last_contact = m_clock.Now();
-  m_is_lease_expired = false;
+  if (!MayReplaceWorker(announcement, WorkerIdentity::kConfirmed)) {
+    m_counters.Add("agent_old_announcements");
+    return false;
+  }
+  m_candidates.Add(announcement, m_term);
   return true;
 }
 
+bool WorkflowRunner::MayReplaceWorker(const WorkerAnnouncement& announcement,
+                                      WorkerIdentity identity) const {
+  if (!m_worker || announcement.worker_incarnation.start_time_unix_ms >
+                       m_worker->worker_incarnation.start_time_unix_ms)
+    return true;
+  // The time of day that an incarnation takes for its start may have been
+  // wrong. One that confirms its start time is the current one if it is found
+  // at the same address, or if the other is gone.
+  return identity == WorkerIdentity::kConfirmed &&
+         (announcement.address == m_worker->address || HaveAllRunsEnded());
+}
+
+void WorkflowRunner::OnConfirmedCandidate(
+    const WorkerAnnouncement& announcement,
+    WorkerIdentity identity) {
+  const bool is_current = m_worker && m_worker->worker_incarnation ==
+                                          announcement.worker_incarnation;
+  if (is_current || !MayReplaceWorker(announcement, identity))
+    return;
+  AdoptWorkerIncarnation(announcement);
+  m_last_contact = m_clock.Now();
+}
+
 void WorkflowRunner::UpdateWorker(const WorkerAnnouncement& announcement) {
   if (m_is_deregistered)
     ResumeDeregisteredWorker();
@@ -253,7 +295,8 @@
     return;
   const bool may_start = m_worker && !m_worker->is_draining &&
                          !m_is_deregistered && !m_is_shutting_down &&
-                         m_has_polled;
+                         m_has_polled &&
+                         !m_candidates.HasAddress(m_worker->address);
   if (!may_start) {
     // Without a final refusal control repeats the instruction until the agent
     // has polled its worker.
@@ -436,6 +479,7 @@
 
 void WorkflowRunner::OnTick() {
   const Millis now = m_clock.Now();
+  m_candidates.OnTick(m_term);
   if (!m_worker)
     return;
   for (auto& [task, local] : m_runs) {
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -13,6 +13,8 @@
 #include "source/agent/run_table.h"
 #include "source/agent/speed_limiter.h"
 #include "source/agent/unconfirmed_starts.h"
+#include "source/agent/worker_announcement.h"
+#include "source/agent/worker_candidates.h"
 #include "source/agent/worker_lease.h"
 #include "source/base/clock.h"
 #include "source/base/decision_log.h"
@@ -22,26 +24,6 @@
 
 namespace fulmarrock {
 
-/// Registration or heartbeat of a worker.
-struct WorkerAnnouncement {
-  WorkerIncarnation worker_incarnation;
-  /// Address at which the worker accepts requests, as "ip:port".
-  std::string address;
-  WorkerAttributes attributes;
-  bool is_draining = false;
-  /// Increases with each announcement of one worker incarnation.
-  uint64_t sequence = 0;
-  std::optional<Millis> worker_clock;
-};
-
-/// Last message of a worker before its planned end.
-struct WorkerDeregistration {
-  std::string id;
-  /// Start time of the incarnation that ends; not set by workers that do not
-  /// include it.
-  std::optional<int64_t> start_time_unix_ms;
-};
-
 /// Settings of a runner.
 struct WorkflowRunnerOptions {
   NodeId id;
@@ -66,9 +48,10 @@
                  BestEffortController::MakePolicy make_speed_limit_policy,
                  DecisionLog& decisions);
 
-  /// Handles an announcement of the worker. Returns false if it was ignored
-  /// because it is from an earlier worker incarnation, or older than one that
-  /// was handled before.
+  /// Handles an announcement of a worker. The announcement of an incarnation
+  /// other than the current one takes effect once the worker at its address has
+  /// confirmed it. Returns false if it was ignored because it is from an
+  /// earlier worker incarnation, or older than one that was handled before.
   bool OnAnnouncement(const WorkerAnnouncement& announcement);
 
   /// Handles the deregistration of a worker. It may be delayed, so that it is
@@ -90,6 +73,12 @@
   const Counters& counters() const override { return m_counters; }
 
  private:
+  /// Whether an incarnation, if it is confirmed, takes the place of the current
+  /// one.
+  bool MayReplaceWorker(const WorkerAnnouncement& announcement,
+                        WorkerIdentity identity) const;
+  void OnConfirmedCandidate(const WorkerAnnouncement& announcement,
+                            WorkerIdentity identity);
   void AdoptWorkerIncarnation(const WorkerAnnouncement& announcement);
   /// The current worker incarnation announces itself again.
   void UpdateWorker(const WorkerAnnouncement& announcement);
@@ -154,6 +143,7 @@
   LeaderTracker m_leader_tracker;
 
   std::optional<WorkerAnnouncement> m_worker;
+  WorkerCandidates m_candidates;
   bool m_is_deregistered = false;
   bool m_is_lease_expired = false;
   // Start instructions that reply to a report from before this time are
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -174,6 +174,20 @@
       R"({"clock_ms":1,"running":[],"finished":[[1,"x",1,"done",""]]})"));
 }
 
+// Guards against a worker that is adopted although another incarnation, or
+// another program, is found at its address.
+TEST_CASE("The response to a poll tells which incarnation sent it") {
+  const char* lists = R"({"clock_ms":4,"born":9,"running":[],"finished":[]})";
+  CHECK(DecodeIdentity(200, lists, 9) == WorkerIdentity::kConfirmed);
+  CHECK(DecodeIdentity(200, lists, 8) == WorkerIdentity::kOther);
+  CHECK(DecodeIdentity(421, lists, 9) == WorkerIdentity::kOther);
+  CHECK(DecodeIdentity(409, R"({"clock_ms":4,"reason":"fence"})", 9) ==
+        WorkerIdentity::kIdOnly);
+  CHECK(DecodeIdentity(503, lists, 9) == WorkerIdentity::kNoResponse);
+  for (const char* body : {"", "{}", "[]", "1", "<html>", R"({"born":9})"})
+    CHECK(DecodeIdentity(200, body, 9) == WorkerIdentity::kNoResponse);
+}
+
 TEST_CASE("The response to a start tells whether the run may have started") {
   CHECK(DecodeStart(200, R"({"clock_ms":4})").result == StartResult::kStarted);
   CHECK(DecodeStart(409, R"({"clock_ms":4,"reason":"room"})").result ==
--- a/tests/support/fake_run_worker.cc
+++ b/tests/support/fake_run_worker.cc
@@ -53,6 +53,22 @@
   m_responses.push_back({m_clock.Now() + delay, std::move(response)});
 }
 
+void FakeRunWorker::Identify(const WorkerIncarnation& expected,
+                             const std::string& address,
+                             uint64_t,
+                             IdentifyDone done) {
+  const bool is_responding =
+      address == kAddress && mode != Mode::kDown && mode != Mode::kNoResponses;
+  if (!is_responding) {
+    Respond(kTimeout, [done] { done(WorkerIdentity::kNoResponse); });
+    return;
+  }
+  const WorkerIdentity identity = expected == worker_incarnation
+                                      ? WorkerIdentity::kConfirmed
+                                      : WorkerIdentity::kOther;
+  Respond(kResponseDelay, [done, identity] { done(identity); });
+}
+
 void FakeRunWorker::Start(const StartRequest& request, StartDone done) {
   ++m_start_calls;
   const uint64_t number = m_incarnation_number;
--- a/tests/support/fake_run_worker.h
+++ b/tests/support/fake_run_worker.h
@@ -71,6 +71,10 @@
   // RunClient:
   void SetWorker(const WorkerIncarnation& worker_incarnation,
                  const std::string& address) override;
+  void Identify(const WorkerIncarnation& expected,
+                const std::string& address,
+                uint64_t fencing_token,
+                IdentifyDone done) override;
   void Start(const StartRequest& request, StartDone done) override;
   void Stop(const TaskName& task,
             RunNumber run,
@@ -83,6 +87,9 @@
                      uint64_t fencing_token,
                      StopDone done) override;
 
+  /// Address of each worker of the tests.
+  static constexpr const char* kAddress = "127.0.0.1:1";
+
   Mode mode = Mode::kNormal;
   Millis start_delay{3'000};
   WorkerIncarnation worker_incarnation;
--- a/tests/support/workflow_cluster.cc
+++ b/tests/support/workflow_cluster.cc
@@ -109,7 +109,7 @@
   }
   WorkerAnnouncement announcement;
   announcement.worker_incarnation = agent.worker.worker_incarnation;
-  announcement.address = "127.0.0.1:1";
+  announcement.address = FakeRunWorker::kAddress;
   announcement.attributes.service = "svc";
   announcement.attributes.cpu_millicores = agent.capacity.cpu_millicores;
   announcement.attributes.memory_mib = agent.capacity.memory_mib;
