Agent: Give up an unlisted run only after a complete list of ends

Cause: ResolveUnlistedRuns took a run that was neither active nor among the listed ends for one that never started. A worker lists 500 ends at a time and the rest only after those are acknowledged, so that absence proves nothing while the list is full. The run was stopped, reported as refused after the stop timeout and started again; its real end came later.

The adapter marks a response with 500 ends or more as possibly incomplete. While it is, no run is given up for its absence, and an agent that has not polled its worker before, or not since the lease expired, does not count it as polled: its report would have control start the tasks again.

--- a/source/agent/run_client.h
+++ b/source/agent/run_client.h
@@ -64,6 +64,10 @@
   int64_t start_time_unix_ms = 0;
   std::vector<RunStatus> running;
   std::vector<EndedRun> ended;
+  /// Whether `ended` holds all ends that are not acknowledged. A worker lists a
+  /// limited number at a time, so that only in a complete list the absence of a
+  /// run means that it has not ended.
+  bool has_all_ends = true;
 };
 
 /// A poll of the worker, which also extends its lease and acknowledges ends.
--- a/source/agent/workflow_runner_polls.cc
+++ b/source/agent/workflow_runner_polls.cc
@@ -100,8 +100,9 @@
   ProcessEndedRuns(*response);
   ProcessListedRuns(*response, sent_at);
   // A new worker incarnation may have executed starts for the earlier one. It
-  // has to be polled after those are stopped, before control learns of it.
-  m_has_polled |= has_no_earlier_starts;
+  // has to be polled after those are stopped, before control learns of it. As
+  // long as some ends are not listed, control would start their tasks again.
+  m_has_polled |= has_no_earlier_starts && response->has_all_ends;
   // A worker responds at once while it lists ended runs, so that the next poll
   // is delayed until control may have stored them.
   if (m_events.last_end() > m_events.stored_end())
@@ -153,7 +154,8 @@
     UpdateProgress(local, listed_run.percent, now);
     local.is_confirmed = true;
   }
-  ResolveUnlistedRuns(listed_runs, sent_at);
+  if (response.has_all_ends)
+    ResolveUnlistedRuns(listed_runs, sent_at);
 }
 
 void WorkflowRunner::ResolveUnlistedRuns(const std::set<TaskName>& listed_runs,
--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -188,6 +188,25 @@
     CHECK(DecodeIdentity(200, body, 9) == WorkerIdentity::kNoResponse);
 }
 
+// Guards against completed tasks that run again because their ends were missing
+// from a list that was cut off.
+TEST_CASE("A list of 500 ends may lack some") {
+  std::string rows;
+  for (int number = 1; number <= 500; ++number) {
+    if (number == 500)
+      CHECK(
+          DecodePoll(R"({"clock_ms":1,"running":[],"finished":[)" + rows + "]}")
+              ->has_all_ends);
+    rows += (number > 1 ? ",[" : "[") + std::to_string(number) +
+            R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+  }
+  const Result<PollResponse> response =
+      DecodePoll(R"({"clock_ms":1,"running":[],"finished":[)" + rows + "]}");
+  REQUIRE(response);
+  CHECK(response->ended.size() == 500);
+  CHECK_FALSE(response->has_all_ends);
+}
+
 TEST_CASE("The response to a start tells whether the run may have started") {
   CHECK(DecodeStart(200, R"({"clock_ms":4})").result == StartResult::kStarted);
   CHECK(DecodeStart(409, R"({"clock_ms":4,"reason":"room"})").result ==
--- a/tests/support/fake_run_worker.cc
+++ b/tests/support/fake_run_worker.cc
@@ -264,6 +264,9 @@
     response.running.push_back(std::move(row));
   }
   response.ended = m_ended;
+  response.has_all_ends = m_ended.size() < max_listed_ends;
+  if (!response.has_all_ends)
+    response.ended.resize(max_listed_ends);
   return response;
 }
 
--- a/tests/support/fake_run_worker.h
+++ b/tests/support/fake_run_worker.h
@@ -107,6 +107,8 @@
   Millis crash_delay{10};
   Millis restart_delay{3'000};
   size_t crash_count = 0;
+  /// Most ends in one poll response.
+  size_t max_listed_ends = 500;
   uint64_t acknowledged_ends = 0;
   std::map<TaskName, int64_t> speed_limits;
   /// Returns the resources that count against the capacity for a task. Without
