Control: Release a worker's runs after all of its reported ends are stored

Control released the runs of a worker that left, or registered its next incarnation, beside the first 500 events of a report; the tasks of the remaining ends became pending and would run again although they were done.

The link knows the highest event that was reported, and neither a release nor a registration is proposed while events of the agent are not.

Evidence: "A worker's runs are released after all of its ends are stored", 600 tasks whose ends control gets with the deregistration. Before, the workflow is not completed; now it is, without a second run.

--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -37,6 +37,7 @@
       m_replaced_processes.push_back(m_report.agent_incarnation);
     if (m_replaced_processes.size() > kMaxReplacedProcesses)
       m_replaced_processes.pop_front();
+    m_reported_sequence = 0;
     m_proposed_sequence = 0;
     m_stored_sequence = 0;
     m_needs_full_report = true;
@@ -141,6 +142,7 @@
   std::vector<RunEvent> events;
   m_proposed_sequence = std::max(m_proposed_sequence, report.stored_sequence);
   for (const RunEvent& event : report.events) {
+    m_reported_sequence = std::max(m_reported_sequence, event.sequence);
     if (event.sequence != m_proposed_sequence + 1 ||
         events.size() >= kMaxEvents) {
       continue;
--- a/source/control/worker_link.h
+++ b/source/control/worker_link.h
@@ -38,6 +38,12 @@
   /// discards every event up to the last one that is stored.
   std::vector<RunEvent> TakeEvents(const WorkerReport& report);
 
+  /// Whether the agent reported events that TakeEvents has not returned,
+  /// because they do not fit into one command or follow a gap.
+  bool HasUnproposedEvents() const {
+    return m_reported_sequence > m_proposed_sequence;
+  }
+
   /// Events were stored. They are acknowledged only if all earlier ones are
   /// stored too; otherwise they are proposed again with those.
   void OnStored(const StoredEvents& stored);
@@ -128,6 +134,8 @@
   // Whether start instructions are sent even for runs that the agent lists: a
   // new agent process learns the properties of its worker's runs from them.
   bool m_must_resend_starts = true;
+  // Highest sequence number among the reported events.
+  uint64_t m_reported_sequence = 0;
   uint64_t m_proposed_sequence = 0;
   uint64_t m_stored_sequence = 0;
   std::vector<LatencyCriticalSample> m_latency_critical_samples;
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -115,7 +115,10 @@
   std::vector<RunEvent> events = link.TakeEvents(report);
   if (!events.empty())
     next.events.push_back({from, report.agent_incarnation, std::move(events)});
+  // A release makes the tasks of all runs pending whose ends are not stored
+  // before it.
   const bool must_release = report.all_runs_ended && !link.is_releasing() &&
+                            !link.HasUnproposedEvents() &&
                             !m_state.RunsOf(entry->number).empty();
   if (must_release) {
     link.BeginRelease();
@@ -166,8 +169,9 @@
   const bool is_proposed = std::any_of(
       next.workers.begin(), next.workers.end(),
       [&](const auto& other) { return other.agent == link.agent(); });
-  const bool may_register =
-      report.is_accepting_runs && !is_proposed && !has_ends && !must_stop_first;
+  const bool may_register = report.is_accepting_runs && !is_proposed &&
+                            !has_ends && !link.HasUnproposedEvents() &&
+                            !must_stop_first;
   if (may_register)
     next.workers.push_back({link.agent(), report.worker_incarnation,
                             report.attributes, report.lost_runs});
--- a/tests/workflow/decisions_test.cc
+++ b/tests/workflow/decisions_test.cc
@@ -1,3 +1,4 @@
+#include <numeric>
 #include <utility>
 
 #include <catch2/catch.hpp>
@@ -74,6 +75,21 @@
   CHECK(link.TakeInstructions(1, Millis(0), kNow).stored_sequence == 2);
 }
 
+// Guards against completed tasks that run again: a worker's runs were released
+// when only the first 500 of their ends were stored.
+TEST_CASE("Events beyond the limit of one command are known as not proposed") {
+  const WorkflowState state;
+  WorkerLink link("agent", state);
+  std::vector<uint64_t> sequences(501);
+  std::iota(sequences.begin(), sequences.end(), uint64_t{1});
+  const WorkerReport report = MakeReport(sequences, 0);
+  link.OnReport(report, 1, kNow);
+  CHECK(link.TakeEvents(report).size() == 500);
+  CHECK(link.HasUnproposedEvents());
+  CHECK(link.TakeEvents(report).size() == 1);
+  CHECK_FALSE(link.HasUnproposedEvents());
+}
+
 // Guards against a run that continues on a worker while its task runs
 // elsewhere, because the only instruction to stop it was lost.
 TEST_CASE("A run that control does not know is stopped until it is gone") {
--- a/tests/workflow/listed_ends_test.cc
+++ b/tests/workflow/listed_ends_test.cc
@@ -59,4 +59,30 @@
   test.CheckAllRanOnce();
 }
 
+// Guards against completed tasks that run again: the runs of a worker that left
+// were released when only the first 500 of their ends were stored.
+TEST_CASE("A worker's runs are released after all of its ends are stored") {
+  constexpr uint32_t kWidth = 600;
+  WorkflowCluster cluster(3, 1, 1);
+  cluster.SetQueueConfiguration(1);
+  cluster.SetCapacity(0, {1'000'000, 1'000'000, 0});
+  FakeRunWorker& worker = cluster.agents[0]->worker;
+  worker.max_listed_ends = 1'000;
+  worker.duration = Millis(3'000);
+  cluster.Run(Millis(3'000));
+  cluster.Submit(MakeChain(7, {kWidth}));
+  cluster.Run(Millis(1'500));
+  REQUIRE(worker.running_count() == kWidth);
+  cluster.network.Isolate("agent0");
+  cluster.Run(Millis(3'000));
+  REQUIRE(worker.running_count() == 0);
+  worker.mode = FakeRunWorker::Mode::kDown;
+  cluster.agents[0]->runner->OnDeregistration(
+      {worker.worker_incarnation.id,
+       worker.worker_incarnation.start_time_unix_ms});
+  cluster.network.HealAll();
+  cluster.Run(Millis(3'000));
+  CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
+}
+
 }  // namespace fulmarrock::test
