Config: Return an error for JSON numbers beyond the range of a double

Seen by the other operators and tried here: a number like 1e400 anywhere in a body ended the process that parsed it: an agent by a heartbeat, a control member by a configuration, an entry process by a call of any client, again each time it was sent.

Cause: the library throws out_of_range for such a number, and ParseJson caught parse_error only. It returns kInvalidArgument now.

--- a/source/config/json_reader.cc
+++ b/source/config/json_reader.cc
@@ -66,6 +66,10 @@
         "malformed JSON at line " + std::to_string(LineOf(text, e.byte)),
         "correct the syntax; comments are allowed, trailing "
         "commas are not");
+  } catch (const json::out_of_range&) {
+    return MakeError(ErrorKind::kInvalidArgument,
+                     "a number in the JSON is too large for any type",
+                     "use numbers in the documented ranges");
   }
   if (duplicates.is_too_deep()) {
     return MakeError(ErrorKind::kInvalidArgument,
--- a/source/config/json_reader.h
+++ b/source/config/json_reader.h
@@ -16,8 +16,8 @@
 namespace fulmarrock {
 
 /// Parses JSON with comments. Fails with kInvalidArgument on malformed text
-/// (the message names the line), on a duplicate name in an object, and on deep
-/// nesting.
+/// (the message names the line), on a duplicate name in an object, on deep
+/// nesting, and on a number that no type can hold.
 Result<nlohmann::json> ParseJson(std::string_view text);
 
 /// Reads the fields of one JSON object and reports every wrong, missing or
