Net: Let an unexpected exception fail its request, not the process

Beside the numbers beyond range there was no boundary: any exception in the handling of a request left libmicrohttpd's callback or the event loop and ended the process.

The HTTP server runs each handler in a guard, and the operators' interfaces run the part that they post to another loop in the same guard. An exception becomes status 500, which leaves open whether the request took effect, a counter and a line request_failed with the route and the reason.

--- a/source/daemon/daemon.cc
+++ b/source/daemon/daemon.cc
@@ -31,9 +31,11 @@
   return options;
 }
 
-HttpServerOptions MakeServerOptions(const Settings& settings) {
+HttpServerOptions MakeServerOptions(const Settings& settings,
+                                    DecisionLog& decisions) {
   HttpServerOptions options;
   options.address = settings.http_listen;
+  options.decisions = &decisions;
   return options;
 }
 
@@ -61,7 +63,7 @@
           m_loop,
           [this] { OnStopSignal(); },
           [this] { Reload(); }),
-      m_server(m_loop, MakeServerOptions(settings)),
+      m_server(m_loop, MakeServerOptions(settings, m_decisions)),
       m_diagnostics(m_loop, m_server),
       m_transport(m_loop,
                   MakeTransportOptions(settings),
--- a/source/daemon/workflow_host.cc
+++ b/source/daemon/workflow_host.cc
@@ -15,7 +15,7 @@
                            Transport& transport,
                            RandomSource& random,
                            DecisionLog& decisions)
-    : m_loop(loop), m_settings(*settings.workflow) {
+    : m_loop(loop), m_settings(*settings.workflow), m_decisions(decisions) {
   if (settings.runs_entry) {
     WorkflowGatewayOptions options;
     options.id = settings.node;
@@ -58,6 +58,7 @@
 HttpServer& WorkflowHost::AddServer(const std::string& address) {
   HttpServerOptions options;
   options.address = address;
+  options.decisions = &m_decisions;
   m_servers.push_back(std::make_unique<HttpServer>(m_loop, options));
   return *m_servers.back();
 }
--- a/source/daemon/workflow_host.h
+++ b/source/daemon/workflow_host.h
@@ -58,6 +58,7 @@
 
   EventLoop& m_loop;
   const WorkflowSettings m_settings;
+  DecisionLog& m_decisions;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
   HttpServer* m_caller_server = nullptr;
   std::unique_ptr<WorkflowGateway> m_gateway;
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "source/net/json_response.h"
+#include "source/net/request_guard.h"
 #include "source/net/socket_address.h"
 
 namespace fulmarrock {
@@ -52,6 +53,8 @@
   HttpServer* server = nullptr;
   MHD_Connection* connection = nullptr;
   HttpRequest request;
+  /// Path prefix of the route that handles the request.
+  std::string route;
   HttpResponse response;
   bool is_dispatched = false;
   bool is_answered = false;
@@ -206,6 +209,30 @@
   call->server->ScheduleRun();
 }
 
+void HttpServer::Responder::Fail(std::string reason) const {
+  if (!m_loop->IsOnLoopThread()) {
+    m_loop->Post(
+        [self = *this, reason = std::move(reason)] { self.Fail(reason); });
+    return;
+  }
+  const std::shared_ptr<Call> call = m_call.lock();
+  if (!call)
+    return;
+  call->server->OnHandlerFailure(*call, reason);
+  Respond(MakeErrorResponse(
+      500, {ErrorKind::kIo, "the request could not be processed",
+            "check its body; the log of the process has the reason"}));
+}
+
+void HttpServer::OnHandlerFailure(const Call& call, const std::string& reason) {
+  m_counters.Add("http_handler_failures");
+  if (!m_options.decisions)
+    return;
+  m_options.decisions->Write(DecisionLine("request_failed")
+                                 .With("route", call.route)
+                                 .With("reason", reason));
+}
+
 HttpServer::HttpServer(EventLoop& loop, HttpServerOptions options)
     : m_loop(loop), m_options(std::move(options)) {}
 
@@ -286,7 +313,10 @@
     is_path_known = true;
     if (route.method != call->request.method)
       continue;
-    route.handler(std::move(call->request), Responder(m_loop, call));
+    const Responder responder(m_loop, call);
+    call->route = route.prefix;
+    GuardRequest(responder,
+                 [&] { route.handler(std::move(call->request), responder); });
     return;
   }
   m_counters.Add("http_unknown_paths");
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "source/base/counters.h"
+#include "source/base/decision_log.h"
 #include "source/base/error.h"
 #include "source/net/event_loop.h"
 #include "source/net/http_message.h"
@@ -27,6 +28,8 @@
   size_t max_body_bytes = size_t{3} << 20;
   unsigned max_connections = 4096;
   unsigned idle_timeout_seconds = 120;
+  /// Log of requests that fail unexpectedly. If set, it outlives the server.
+  DecisionLog* decisions = nullptr;
 };
 
 /// HTTP/1.1 server driven by an event loop; all its functions and handlers run
@@ -44,6 +47,10 @@
         : m_loop(&loop), m_call(std::move(call)) {}
     void Respond(HttpResponse response) const;
 
+    /// Logs that the handling of the request failed unexpectedly, and responds
+    /// with status 500, which leaves open whether the request took effect.
+    void Fail(std::string reason) const;
+
    private:
     EventLoop* m_loop;
     std::weak_ptr<Call> m_call;
@@ -87,6 +94,7 @@
     Handler handler;
   };
 
+  void OnHandlerFailure(const Call& call, const std::string& reason);
   void Dispatch(const std::shared_ptr<Call>& call);
   void ScheduleRun();
   void RunDaemon();
--- a/source/net/operator_front_end.cc
+++ b/source/net/operator_front_end.cc
@@ -9,6 +9,7 @@
 #include "source/base/json_text.h"
 #include "source/net/json_response.h"
 #include "source/net/operator_json.h"
+#include "source/net/request_guard.h"
 
 namespace fulmarrock {
 namespace {
@@ -42,7 +43,9 @@
                  [this, handler](HttpRequest request, Respond responder) {
                    m_loop.Post([this, handler, request = std::move(request),
                                 responder = std::move(responder)] {
-                     (this->*handler)(request, responder);
+                     GuardRequest(responder, [&] {
+                       (this->*handler)(request, responder);
+                     });
                    });
                  });
   };
--- a/tests/net/operator_front_end_test.cc
+++ b/tests/net/operator_front_end_test.cc
@@ -175,6 +175,7 @@
       {"/v1/configuration", "{"},
       {"/v1/configuration", "[]"},
       {"/v1/configuration", "\xff\xfe"},
+      {"/v1/configuration", R"({"operation_id": "a", "base_version": 1e400})"},
       {"/v1/configuration", R"({"operation_id": "a", "base_version": 1})"},
       {"/v1/configuration",
        R"({"operation_id": 4, "base_version": -1, "configuration": {}})"},
