Platform: Refuse a heartbeat whose address or id cannot be used

Tried here: heartbeats with port 70000 or -5, without a port, with words or a line break as address were answered with 200, also under the id of the real worker, and that worker got no work from then on. An id that is decoded from the path went into a header of the agent's calls with any bytes in it.

Cause: the decoder took any text that is not empty.

--- a/tests/platform/codec_test.cc
+++ b/tests/platform/codec_test.cc
@@ -127,6 +127,31 @@
   }
 }
 
+// Guards against a worker that gets no work, because an address at which
+// nothing can be called was taken for its own.
+TEST_CASE("A heartbeat with an address that cannot be called is an error") {
+  for (const char* address :
+       {"", "10.0.0.9", "10.0.0.9:", "10.0.0.9:0", "10.0.0.9:70000",
+        "10.0.0.9:-5", "10.0.0.9:80x", "10.0.0.9:8080\\n", ":8080", "words",
+        "host.example:80", "10.0.0.9:1e400", "10.0.0.9\\u0000:80",
+        "user@10.0.0.9:80", "10.0.0.9:80/path", "999.0.0.1:80"}) {
+    INFO(address);
+    std::string body = kAnnouncement;
+    body.replace(body.find("10.0.0.9:8080"), 13, address);
+    CHECK_FALSE(DecodeAnnouncement(body, "i-1"));
+  }
+}
+
+// Guards against header lines that the id in a heartbeat's path adds to the
+// calls of the worker.
+TEST_CASE("A heartbeat of an id that cannot be sent in a header is an error") {
+  for (const std::string& id :
+       {std::string(), std::string("i 1"), std::string("i-1\r\nX: y"),
+        std::string("i\0", 2), std::string("\xff"), std::string(300, 'i')}) {
+    CHECK_FALSE(DecodeAnnouncement(kAnnouncement, id));
+  }
+}
+
 // Guards against a worker that seems to have no capacity because another
 // program announced it without any.
 TEST_CASE("A heartbeat without a capacity is an error") {
