Platform: Read numbers without a cast out of range

Tried here: a heartbeat with clock_ms 1e300 was accepted. Three places of the worker's codec cast a double to an integer; out of range that is undefined, and arm64 and x86-64 differ in it. Run numbers were cut to 32 bits.

WholePart in the JSON reader returns a number only if it is within the limits that the caller names, for each JSON type of number.

--- a/source/config/json_reader.cc
+++ b/source/config/json_reader.cc
@@ -14,6 +14,9 @@
 /// document is nested this deeply.
 constexpr int kMaxDepth = 32;
 
+/// Largest magnitude of the whole part of a number.
+constexpr int64_t kMaxWhole = int64_t{1} << 62;
+
 /// Finds duplicate names in an object; the parser itself would silently keep
 /// the last one.
 class DuplicateFinder {
@@ -85,6 +88,32 @@
   return value;
 }
 
+std::optional<int64_t> WholePart(const json& value,
+                                 int64_t minimum,
+                                 int64_t maximum) {
+  int64_t whole = 0;
+  if (value.is_number_unsigned()) {
+    if (value.get<uint64_t>() > static_cast<uint64_t>(kMaxWhole))
+      return std::nullopt;
+    whole = value.get<int64_t>();
+  } else if (value.is_number_integer()) {
+    whole = value.get<int64_t>();
+  } else if (value.is_number_float()) {
+    // A conversion to an integer is undefined for values out of its range.
+    const double number = value.get<double>();
+    const bool is_in_range = number >= -static_cast<double>(kMaxWhole) &&
+                             number <= static_cast<double>(kMaxWhole);
+    if (!is_in_range)
+      return std::nullopt;
+    whole = static_cast<int64_t>(number);
+  } else {
+    return std::nullopt;
+  }
+  if (whole < minimum || whole > maximum)
+    return std::nullopt;
+  return whole;
+}
+
 JsonReader::JsonReader(const json& value, std::string path, FieldErrors& errors)
     : m_value(value), m_path(std::move(path)), m_errors(errors) {
   if (!m_value.is_object()) {
--- a/source/config/json_reader.h
+++ b/source/config/json_reader.h
@@ -20,6 +20,12 @@
 /// nesting, and on a number that no type can hold.
 Result<nlohmann::json> ParseJson(std::string_view text);
 
+/// Returns the whole part of a number that is at least `minimum` and at most
+/// `maximum`, or nothing for other values. The limits are within +-2^62.
+std::optional<int64_t> WholePart(const nlohmann::json& value,
+                                 int64_t minimum,
+                                 int64_t maximum);
+
 /// Reads the fields of one JSON object and reports every wrong, missing or
 /// unknown one. A read that fails returns the fallback or an empty value.
 class JsonReader {
--- a/tests/config/json_reader_test.cc
+++ b/tests/config/json_reader_test.cc
@@ -66,4 +66,24 @@
   }
 }
 
+// Guards against a cast of a number that no integer holds, whose result differs
+// between processors.
+TEST_CASE("Only a number within the limits has a whole part") {
+  constexpr int64_t kLimit = int64_t{1} << 62;
+  const auto whole_part = [](const char* text) {
+    return WholePart(*ParseJson(text), -kLimit, kLimit);
+  };
+  CHECK(whole_part("7") == 7);
+  CHECK(whole_part("-7.9") == -7);
+  CHECK(whole_part("1e3") == 1'000);
+  CHECK(whole_part("4611686018427387904") == kLimit);
+  for (const char* text :
+       {"1e300", "-1e300", "9.3e18", "4611686018427387905",
+        "-4611686018427387905", "18446744073709551615",
+        "1234567890123456789012345678901234567890", "null", "\"7\"", "[7]"}) {
+    INFO(text);
+    CHECK_FALSE(whole_part(text).has_value());
+  }
+}
+
 }  // namespace fulmarrock
