Platform: Keep the other rows of a list that has a row of another program

A worker that also runs something for another program lists it. One such row had the whole response refused, so that the worker counted as unresponsive for as long as the row was listed.

Rows that name no task of a workflow are left out now, and their ends are acknowledged once all ends of tasks are stored.

"The end of a run that another program started is acknowledged" fails without the acknowledgement.

--- a/source/agent/run_client.h
+++ b/source/agent/run_client.h
@@ -64,6 +64,9 @@
   int64_t start_time_unix_ms = 0;
   std::vector<RunStatus> running;
   std::vector<EndedRun> ended;
+  /// Highest number of a listed end, also of a run that `ended` leaves out
+  /// because another program started it; zero for none.
+  uint64_t last_listed_end = 0;
   /// Whether `ended` holds all ends that are not acknowledged. A worker lists a
   /// limited number at a time, so that only in a complete list the absence of a
   /// run means that it has not ended.
--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -164,7 +164,7 @@
   m_events.DiscardEndNumbers();
   m_is_polling = false;
   m_has_polled = false;
-  m_has_listed_ends = false;
+  m_last_listed_end = 0;
   m_needs_full_report = true;
   m_next_poll = now;
   m_speed_limiter.OnNewWorkerIncarnation();
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -112,6 +112,8 @@
               uint64_t end_number);
 
   bool NeedsPoll() const;
+  /// Number up to which the worker may forget the ends that it listed.
+  uint64_t AcknowledgedEnds() const;
   Millis MaxPollWait() const;
   void Poll();
   /// `has_no_earlier_starts`: whether all starts for an earlier worker
@@ -168,8 +170,8 @@
   bool m_is_polling = false;
   bool m_has_polled = false;
   bool m_has_last_poll_response = true;
-  // Whether the response to the last poll listed ended runs.
-  bool m_has_listed_ends = false;
+  // Highest number of an end that the last poll response listed; zero for none.
+  uint64_t m_last_listed_end = 0;
   Millis m_next_poll;
   SpeedLimiter m_speed_limiter;
 
--- a/source/agent/workflow_runner_polls.cc
+++ b/source/agent/workflow_runner_polls.cc
@@ -25,7 +25,7 @@
 bool WorkflowRunner::NeedsPoll() const {
   if (m_is_deregistered)
     return false;
-  return !m_has_polled || !m_runs.empty() || m_has_listed_ends ||
+  return !m_has_polled || !m_runs.empty() || m_last_listed_end != 0 ||
          m_events.last_end() > m_events.stored_end();
 }
 
@@ -45,6 +45,18 @@
                                                  : kMaxPollWait;
 }
 
+uint64_t WorkflowRunner::AcknowledgedEnds() const {
+  // Ends are acknowledged only right after a response that listed some: a
+  // worker incarnation that is not known here yet numbers its ends from 1
+  // again.
+  if (m_last_listed_end == 0)
+    return 0;
+  // Ends of runs that another program started need not be stored.
+  const bool are_all_stored = m_events.stored_end() == m_events.last_end();
+  return are_all_stored ? std::max(m_last_listed_end, m_events.stored_end())
+                        : m_events.stored_end();
+}
+
 void WorkflowRunner::Poll() {
   const Millis now = m_clock.Now();
   PollRequest request;
@@ -53,10 +65,7 @@
   // worker's lease expires and its runs count as ended.
   if (m_has_last_poll_response)
     request.lease_deadline = m_lease.TakeExtension(now);
-  // Ends are acknowledged only right after a response that listed some: a
-  // worker incarnation that is not known here yet numbers its ends from 1
-  // again.
-  request.acknowledged_ends = m_has_listed_ends ? m_events.stored_end() : 0;
+  request.acknowledged_ends = AcknowledgedEnds();
   request.wait = MaxPollWait();
   request.fencing_token = m_term;
   m_is_polling = true;
@@ -77,7 +86,7 @@
   const Millis now = m_clock.Now();
   m_is_polling = false;
   m_has_last_poll_response = response.has_value();
-  m_has_listed_ends = false;
+  m_last_listed_end = 0;
   m_next_poll = now + (response ? kMinPollPause : kPollRetryDelay);
   if (!response) {
     m_counters.Add("agent_unanswered_looks");
@@ -96,7 +105,7 @@
   m_is_lease_expired = false;
   m_lost_runs.OnWorkerResponsive();
   m_lease.OnWorkerClock(response->worker_clock, now);
-  m_has_listed_ends = !response->ended.empty();
+  m_last_listed_end = response->last_listed_end;
   ProcessEndedRuns(*response);
   ProcessListedRuns(*response, sent_at);
   // A new worker incarnation may have executed starts for the earlier one. It
--- a/tests/support/fake_run_worker.h
+++ b/tests/support/fake_run_worker.h
@@ -62,6 +62,11 @@
   /// Discards the responses that the crashed agent waited for.
   void DisconnectAgent();
 
+  /// A run that another program started has ended. Its row is listed until it
+  /// is acknowledged, and names no task.
+  void EndForeignRun() { m_foreign_ends.push_back(++m_end_count); }
+  bool HasForeignEnds() const { return !m_foreign_ends.empty(); }
+
   /// Ends everything that runs, and the worker until it is back.
   void Crash();
 
@@ -158,6 +163,7 @@
   std::map<TaskName, Running> m_running;
   std::map<TaskName, RunNumber> m_highest_ended;
   std::vector<EndedRun> m_ended;
+  std::vector<uint64_t> m_foreign_ends;
   // Position in `executions` of each run in m_ended.
   std::vector<size_t> m_ended_executions;
   // Start requests that are executed later, and responses that are not
--- a/tests/workflow/listed_ends_test.cc
+++ b/tests/workflow/listed_ends_test.cc
@@ -85,4 +85,22 @@
   CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
 }
 
+// Guards against an agent that polls without a pause, because an end that
+// belongs to no task is never acknowledged.
+TEST_CASE("The end of a run that another program started is acknowledged") {
+  WorkflowCluster cluster(3, 1, 1);
+  cluster.SetQueueConfiguration(1);
+  cluster.Run(Millis(3'000));
+  FakeRunWorker& worker = cluster.agents[0]->worker;
+  worker.duration = Millis(5'000);
+  cluster.Submit(MakeChain(7, {2}));
+  cluster.Run(Millis(500));
+  worker.EndForeignRun();
+  cluster.Run(Millis(2'000));
+  CHECK_FALSE(worker.HasForeignEnds());
+  cluster.Run(Millis(5'000));
+  CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
+  CHECK(cluster.FindViolation().empty());
+}
+
 }  // namespace fulmarrock::test
