Control: Drain a worker only if it or its agent is about to end

Found while looking at the agents that have not polled their workers yet, which the wait for a complete list of ends lets stay so for longer.

Long-running tasks and tasks with checkpoints were stopped, and started over elsewhere, whenever an agent restarted or its worker was silent for 2.5 s: control drained each worker that accepted no runs at the moment, and an agent reports that too before its first poll and while its worker is silent. A report says now whether the worker or the agent is about to end, and only then do tasks move. A report of an earlier version says no, so that such a worker's tasks stay until it has left.

Evidence: "Long-running tasks continue while their agent restarts" and "... while their worker is silent": 8 executions of 4 tasks before, 4 now.

--- a/source/agent/workflow_runner_reports.cc
+++ b/source/agent/workflow_runner_reports.cc
@@ -59,6 +59,7 @@
   report.is_accepting_runs = !report.all_runs_ended && !m_worker->is_draining &&
                              !m_is_deregistered && !m_is_shutting_down &&
                              m_has_polled && IsWorkerReachable();
+  report.is_draining = m_worker->is_draining || m_is_shutting_down;
   report.is_full_report = m_needs_full_report && m_has_polled;
   if (report.is_full_report) {
     for (const auto& [task, local] : m_runs) {
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -128,7 +128,7 @@
     m_interference_model.Record(report.latency_critical_samples,
                                 report.best_effort_samples);
   OnStalls(link, report, now);
-  if (!report.is_accepting_runs && !report.all_runs_ended)
+  if (report.is_draining && !report.all_runs_ended)
     DrainWorker(link);
   SendInstructions(link, true, now);
   m_is_dirty = true;
@@ -201,8 +201,8 @@
 }
 
 void WorkflowService::DrainWorker(WorkerLink& link) {
-  // The worker is draining. Tasks that can resume elsewhere move at once; other
-  // tasks may still complete in the time that is left.
+  // Tasks that can resume elsewhere move at once; other tasks may still complete
+  // in the time that is left.
   for (const TaskName& task : m_state.RunsOf(link.worker())) {
     const StepSpec& step = *m_state.FindStep(task);
     if (step.has_checkpoints || step.is_long_running)
--- a/source/message/workflow_messages.h
+++ b/source/message/workflow_messages.h
@@ -210,6 +210,9 @@
   /// Runs that the worker lists and whose start instruction the agent lacks, so
   /// that it does not know their resources.
   std::vector<RunId> runs_without_instruction;
+  /// Whether the worker or the agent is about to end. A worker may also accept
+  /// no runs because its agent has not polled it yet, or not recently.
+  bool is_draining = false;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
@@ -218,7 +221,7 @@
             self.is_full_report, self.listed_runs, self.stored_sequence,
             self.events, self.stalled_runs, self.latency_critical_samples,
             self.best_effort_samples, self.has_samples, self.lost_runs,
-            self.runs_without_instruction);
+            self.runs_without_instruction, self.is_draining);
   }
 };
 
