--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -201,8 +201,8 @@
 }
 
 void WorkflowService::DrainWorker(WorkerLink& link) {
-  // Tasks that can resume elsewhere move at once; other tasks may still complete
-  // in the time that is left.
+  // Tasks that can resume elsewhere move at once; other tasks may still
+  // complete in the time that is left.
   for (const TaskName& task : m_state.RunsOf(link.worker())) {
     const StepSpec& step = *m_state.FindStep(task);
     if (step.has_checkpoints || step.is_long_running)
