--- a/source/agent/run_client.h
+++ b/source/agent/run_client.h
@@ -114,6 +114,7 @@
 class RunClient {
  public:
   using StartDone = std::function<void(const StartResponse&)>;
+  using IdentifyDone = std::function<void(WorkerIdentity)>;
   using StopDone = std::function<void(bool has_response)>;
   using PollDone =
       std::function<void(const tl::expected<PollResponse, PollFailure>&)>;
@@ -125,8 +126,6 @@
   virtual void SetWorker(const WorkerIncarnation& worker_incarnation,
                          const std::string& address) = 0;
 
-  using IdentifyDone = std::function<void(WorkerIdentity)>;
-
   /// Asks the worker at an address whether it is this incarnation. Does not
   /// depend on SetWorker and changes nothing at the worker.
   virtual void Identify(const WorkerIncarnation& worker_incarnation,
--- a/source/agent/worker_candidates.h
+++ b/source/agent/worker_candidates.h
@@ -3,8 +3,8 @@
 
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "source/agent/run_client.h"
