--- a/tests/process/group_test.sh
+++ b/tests/process/group_test.sh
@@ -7,13 +7,22 @@
 source "$(dirname "$0")/process_library.sh"
 
 # reserve NAME: sets reserved_NAME to an address whose port the system chose. The
-# members need each other's addresses before any of them starts.
+# members need each other's addresses before any of them starts. The port is held
+# until release_reserved, so that the system does not choose it again.
 reserve() {
   start_standin "reserve_$1" "$bin/standin-target"
-  local address="address_reserve_$1" pid="pid_reserve_$1"
+  local address="address_reserve_$1"
   declare -g "reserved_$1=${!address}"
-  kill -TERM "${!pid}"
-  wait_for_exit "reserve_$1" 0
+}
+
+# release_reserved NAMES...
+release_reserved() {
+  local name pid
+  for name in "$@"; do
+    pid="pid_reserve_$name"
+    kill -TERM "${!pid}"
+    wait_for_exit "reserve_$name" 0
+  done
 }
 
 members=""
@@ -24,6 +33,8 @@
   members+="${members:+, }{\"node\": \"c$i\", \"peer\": \"${!peer}\", \"http\": \"${!http}\"}"
 done
 
+release_reserved peer1 http1 peer2 http2 peer3 http3
+
 # start_member NUMBER
 start_member() {
   local peer="reserved_peer$1" http="reserved_http$1"
