--- a/tests/process/group_test.sh
+++ b/tests/process/group_test.sh
@@ -6,25 +6,6 @@
 bin=$1
 source "$(dirname "$0")/process_library.sh"
 
-# reserve NAME: sets reserved_NAME to an address whose port the system chose. The
-# members need each other's addresses before any of them starts. The port is held
-# until release_reserved, so that the system does not choose it again.
-reserve() {
-  start_standin "reserve_$1" "$bin/standin-target"
-  local address="address_reserve_$1"
-  declare -g "reserved_$1=${!address}"
-}
-
-# release_reserved NAMES...
-release_reserved() {
-  local name pid
-  for name in "$@"; do
-    pid="pid_reserve_$name"
-    kill -TERM "${!pid}"
-    wait_for_exit "reserve_$name" 0
-  done
-}
-
 members=""
 for i in 1 2 3; do
   reserve "peer$i"
--- a/tests/process/process_library.sh
+++ b/tests/process/process_library.sh
@@ -86,6 +86,25 @@
   [ "$code" -eq "$2" ] || fail "$1 exited with code $code instead of $2"
 }
 
+# reserve NAME: sets reserved_NAME to an address whose port the system chose, for
+# programs whose addresses have to be known before they start. The port is held
+# until release_reserved, so that the system does not choose it again.
+reserve() {
+  start_standin "reserve_$1" "$bin/standin-target"
+  local address="address_reserve_$1"
+  declare -g "reserved_$1=${!address}"
+}
+
+# release_reserved NAMES...
+release_reserved() {
+  local name pid
+  for name in "$@"; do
+    pid="pid_reserve_$name"
+    kill -TERM "${!pid}"
+    wait_for_exit "reserve_$name" 0
+  done
+}
+
 # http METHOD ADDRESS PATH [BODY] [HEADER...]: sends one request and prints the
 # whole response with its headers.
 http() {
