Observability: Log the leader of an entry and the path of a stop

An entry now writes leader_changed; an agent stop_received with what it does about the instruction, and counts unanswered stops; control counts the stop instructions in workflow_ended and writes stop_overdue, once a second, for each stop without effect after 3 s. No decision changes.

--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -261,21 +261,36 @@
 }
 
 void WorkflowRunner::OnStopInstruction(const RunId& instruction) {
-  if (m_is_deregistered)
+  if (m_is_deregistered) {
+    LogStopInstruction(instruction, "worker_left");
     return;
+  }
   const auto it = m_runs.find(instruction.task);
-  if (it != m_runs.end() && it->second.run != instruction.run)
+  if (it != m_runs.end() && it->second.run != instruction.run) {
+    LogStopInstruction(instruction, "other_run");
     return;
+  }
   const bool is_known = it != m_runs.end();
+  // Control repeats the instruction until the end is stored.
   if (is_known && (it->second.stage == RunStage::kStopping ||
                    it->second.stage == RunStage::kStopped)) {
     return;
   }
+  LogStopInstruction(instruction, is_known ? "stop" : "stop_unknown_run");
   LocalRun& local = m_runs[instruction.task];
   local.run = instruction.run;
   StopRun(instruction.task);
 }
 
+void WorkflowRunner::LogStopInstruction(const RunId& instruction,
+                                        std::string_view outcome) {
+  m_decisions.Write(DecisionLine("stop_received")
+                        .With("task", ToString(instruction.task))
+                        .With("run", int64_t{instruction.run})
+                        .With("term", static_cast<int64_t>(m_term))
+                        .With("outcome", outcome));
+}
+
 void WorkflowRunner::StopRun(const TaskName& task) {
   LocalRun& local = m_runs.at(task);
   local.stage = RunStage::kStopping;
@@ -285,8 +300,11 @@
                  incarnation_number = m_incarnation_number](bool has_response) {
                   const auto it = m_runs.find(task);
                   if (incarnation_number != m_incarnation_number ||
-                      it == m_runs.end() || it->second.run != run ||
-                      !has_response) {
+                      it == m_runs.end() || it->second.run != run) {
+                    return;
+                  }
+                  if (!has_response) {
+                    m_counters.Add("agent_unanswered_stops");
                     return;
                   }
                   it->second.stage = RunStage::kStopped;
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "source/agent/lost_runs.h"
@@ -97,6 +98,7 @@
   void OnNewStartInstruction(const StartInstruction& instruction);
   void AddRun(const StartInstruction& instruction);
   void OnStopInstruction(const RunId& instruction);
+  void LogStopInstruction(const RunId& instruction, std::string_view outcome);
   void StartRun(const TaskName& task);
   void OnStartResponse(const TaskName& task,
                        RunNumber run,
--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -183,6 +183,22 @@
   return !instruction.is_sent || now - instruction.sent_at >= kResendAfter;
 }
 
+std::vector<RunId> WorkerLink::OverdueStops(Millis limit, Millis now) const {
+  std::vector<RunId> overdue;
+  for (const auto& [task, instruction] : m_stops) {
+    if (instruction.is_sent && now - instruction.first_sent_at >= limit)
+      overdue.push_back({task, instruction.run});
+  }
+  return overdue;
+}
+
+void WorkerLink::MarkSent(PendingInstruction& instruction, Millis now) {
+  if (!instruction.is_sent)
+    instruction.first_sent_at = now;
+  instruction.is_sent = true;
+  instruction.sent_at = now;
+}
+
 bool WorkerLink::HasDueInstructions(Millis now) const {
   const auto is_due = [now](const auto& item) {
     return IsDue(item.second, now);
@@ -206,15 +222,13 @@
   for (auto& [task, instruction] : m_starts) {
     if (m_is_releasing || !IsDue(instruction, now))
       continue;
-    instruction.is_sent = true;
-    instruction.sent_at = now;
+    MarkSent(instruction, now);
     instructions.starts.push_back(MakeStart(task, instruction.run));
   }
   for (auto& [task, instruction] : m_stops) {
     if (!IsDue(instruction, now))
       continue;
-    instruction.is_sent = true;
-    instruction.sent_at = now;
+    MarkSent(instruction, now);
     instructions.stops.push_back({task, instruction.run});
   }
   instructions.stops.insert(instructions.stops.end(), m_unknown_runs.begin(),
--- a/source/control/worker_link.h
+++ b/source/control/worker_link.h
@@ -84,6 +84,10 @@
     return m_best_effort_samples;
   }
 
+  /// Runs that the agent has not reported as ended `limit` after their first
+  /// stop instruction.
+  std::vector<RunId> OverdueStops(Millis limit, Millis now) const;
+
   /// Whether instructions are due at this time.
   bool HasDueInstructions(Millis now) const;
 
@@ -108,12 +112,14 @@
     explicit PendingInstruction(RunNumber number) : run(number) {}
 
     RunNumber run = 0;
+    Millis first_sent_at;
     Millis sent_at;
     bool is_sent = false;
   };
   using Instructions = std::map<TaskName, PendingInstruction>;
 
   static bool IsDue(const PendingInstruction& instruction, Millis now);
+  static void MarkSent(PendingInstruction& instruction, Millis now);
   /// Whether a run is active on this worker in the replicated state.
   bool IsActiveHere(const RunId& run) const;
   void Reconcile(const WorkerReport& report);
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -33,6 +33,10 @@
 /// How often the leader logs the amount of pending and active work.
 constexpr Millis kLoadLogInterval{1'000};
 
+/// A stop that is not confirmed this long after its first instruction is
+/// logged.
+constexpr Millis kOverdueStop{3'000};
+
 }  // namespace
 
 WorkflowService::WorkflowService(const WorkflowState& state,
@@ -242,6 +246,7 @@
   if (now < m_next_load_log)
     return;
   m_next_load_log = now + kLoadLogInterval;
+  LogOverdueStops(now);
   const SchedulingLoad load = m_scheduler.MeasureLoad();
   m_decisions->Write(
       DecisionLine("scheduling_load")
@@ -413,21 +418,41 @@
   const WorkflowRecord* workflow = m_state.Find(key);
   if (!workflow)
     return;
-  m_decisions->Write(DecisionLine("workflow_ended")
-                         .With("workflow", FormatWorkflowKey(key))
-                         .With("phase", static_cast<int64_t>(workflow->phase))
-                         .With("runs", int64_t{workflow->active}));
+  int64_t stops = 0;
   for (uint32_t k = 0; k < workflow->occurrences.size(); ++k) {
     const auto& steps = workflow->occurrences[k].steps;
     for (uint32_t s = 0; s < steps.size(); ++s) {
       for (uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
         const WorkflowTask& task = steps[s].tasks[i];
         WorkerLink* link = FindLink(task.worker);
-        if (task.stage == TaskStage::kActive && link)
-          link->AddStop({key, k, s, i}, task.run);
+        if (task.stage != TaskStage::kActive || !link)
+          continue;
+        link->AddStop({key, k, s, i}, task.run);
+        ++stops;
       }
     }
   }
+  // The runs without a stop instruction are on workers that have not reported
+  // to this leader; they get it with their first report.
+  m_decisions->Write(DecisionLine("workflow_ended")
+                         .With("workflow", FormatWorkflowKey(key))
+                         .With("phase", static_cast<int64_t>(workflow->phase))
+                         .With("runs", int64_t{workflow->active})
+                         .With("stops", stops));
+}
+
+void WorkflowService::LogOverdueStops(Millis now) {
+  for (const auto& [agent, link] : m_links) {
+    for (const RunId& run : link.OverdueStops(kOverdueStop, now)) {
+      m_counters.Add("control_overdue_stops");
+      m_decisions->Write(
+          DecisionLine("stop_overdue")
+              .With("task", ToString(run.task))
+              .With("run", int64_t{run.run})
+              .With("worker", agent)
+              .With("report_age_ms", now - link.last_report_at()));
+    }
+  }
 }
 
 void WorkflowService::SendDueInstructions(Millis now) {
--- a/source/control/workflow_service.h
+++ b/source/control/workflow_service.h
@@ -87,6 +87,7 @@
   /// Stops best-effort tasks that would run better on another worker.
   void MoveBestEffortTasks(const PlanningTime& time);
   void LogLoad(Millis now);
+  void LogOverdueStops(Millis now);
   void ReleaseExpired(const PlanningTime& time, WorkflowBatch& next);
   void Plan(const PlanningTime& time, WorkflowBatch& next);
   std::map<WorkerNumber, WorkerStatus> Statuses(Millis now) const;
--- a/source/entry/workflow_gateway.cc
+++ b/source/entry/workflow_gateway.cc
@@ -87,12 +87,29 @@
 }
 
 void WorkflowGateway::OnMessage(const NodeId& from, const Message& message) {
+  const NodeId earlier_leader = m_leader_tracker.leader();
   if (const auto* reply = std::get_if<WorkflowReply>(&message)) {
     OnReply(from, *reply);
   } else if (const auto* view = std::get_if<GroupView>(&message)) {
     m_leader_tracker.AddMembers(view->members);
     m_leader_tracker.OnLeaderHint(view->leader);
   }
+  LogLeaderChange(earlier_leader, from);
+}
+
+void WorkflowGateway::LogLeaderChange(const NodeId& earlier,
+                                      const NodeId& source) {
+  if (m_leader_tracker.leader() == earlier)
+    return;
+  m_counters.Add("entry_leader_changes");
+  m_decisions.Write(
+      DecisionLine("leader_changed")
+          .With("leader", m_leader_tracker.leader())
+          .With("earlier", earlier)
+          .With("source", source)
+          .With("known_members",
+                static_cast<int64_t>(m_leader_tracker.members().size()))
+          .With("waiting_calls", static_cast<int64_t>(m_pending.size())));
 }
 
 bool WorkflowGateway::IsFinalReply(WorkflowReplyKind kind) {
--- a/source/entry/workflow_gateway.h
+++ b/source/entry/workflow_gateway.h
@@ -100,6 +100,8 @@
                    PendingCall& pending);
   void Finish(uint64_t call, CallResult result);
   static bool IsFinalReply(WorkflowReplyKind kind);
+  /// Logs the leader if it is another one than `earlier`.
+  void LogLeaderChange(const NodeId& earlier, const NodeId& source);
 
   const WorkflowGatewayOptions m_options;
   const Clock& m_clock;
