--- a/tests/support/workflow_cluster.cc
+++ b/tests/support/workflow_cluster.cc
@@ -42,10 +42,18 @@
     };
     StartAgent(i);
   }
+  std::vector<NodeId> nodes;
+  for (const auto& member : members)
+    nodes.push_back(member->node);
+  StartGateway(std::move(nodes));
+}
+
+WorkflowCluster::~WorkflowCluster() = default;
+
+void WorkflowCluster::StartGateway(std::vector<NodeId> member_nodes) {
   WorkflowGatewayOptions options;
   options.id = "entry";
-  for (const auto& member : members)
-    options.control_members.push_back(member->node);
+  options.control_members = std::move(member_nodes);
   gateway = std::make_unique<WorkflowGateway>(
       options, clock, network.TransportOf("entry"), random, decisions);
   network.SetHandler("entry",
@@ -54,8 +62,6 @@
                      });
 }
 
-WorkflowCluster::~WorkflowCluster() = default;
-
 void WorkflowCluster::StartMember(size_t index) {
   ControlNode& member = *members[index];
   member.role = std::make_unique<ControlRole>(member.node, clock,
--- a/tests/support/workflow_cluster.h
+++ b/tests/support/workflow_cluster.h
@@ -53,6 +53,8 @@
   void StartMember(size_t index);
   void CrashAgent(size_t index);
   void StartAgent(size_t index);
+  /// Starts the entry process anew; `members` are those of its settings.
+  void StartGateway(std::vector<NodeId> members);
   /// Changes the capacity of a worker, which announces it immediately.
   void SetCapacity(size_t index, const Resources& capacity);
   /// Makes another member the leader.
