Entry: Search for the leader among all members when it does not reply

What callers saw: after members of the control group had left, no submission, status request or cancellation was answered until the entry restarted.

Cause: an entry kept the last leader that it knew until another member named a new one. A call without a reply went to that leader and to the member after it in order, in turn. When both had left, no other member was ever asked. Besides, an entry learned of members only from those that refused a call as not being the leader, so that an entry whose calls all went to the leader knew only the members of its settings.

Change: LeaderFinder drops a leader that left a call unanswered and did not reply to another one since, and asks all members it knows at the same time with a new message, GroupViewRequest. It believes a view by its term, so that a member that is cut off cannot bring back a leader that left. Calls that wait go to the new leader at once. Agents forget members that left too. A process that does not find the leader reads its settings again every 5 s, since they may change without a signal.

--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -53,6 +53,10 @@
   }
 }
 
+bool WorkflowRunner::IsSearchingLeader() const {
+  return m_worker && !m_leader_tracker.IsLeaderResponsive(m_clock.Now());
+}
+
 void WorkflowRunner::OnInstructions(const NodeId& from,
                                     const WorkerInstructions& instructions) {
   const Millis now = m_clock.Now();
@@ -67,7 +71,7 @@
     m_is_report_urgent = true;
   }
   m_term = instructions.term;
-  m_leader_tracker.AddMembers(instructions.members);
+  m_leader_tracker.SetMembers(instructions.members);
   m_leader_tracker.OnLeaderReply(from, now);
   m_events.OnStored(instructions.stored_sequence);
   if (m_events.last_end() == m_events.stored_end())
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -60,11 +60,14 @@
   /// ignored.
   bool OnDeregistration(const WorkerDeregistration& deregistration);
 
-  /// Adds nodes that may be members of the control group.
-  void AddMembers(const std::vector<NodeId>& members) {
-    m_leader_tracker.AddMembers(members);
+  /// Replaces the members of the control group that the settings name.
+  void SetSeeds(const std::vector<NodeId>& seeds) {
+    m_leader_tracker.SetSeeds(seeds);
   }
 
+  /// Whether the leader of the control group does not reply.
+  bool IsSearchingLeader() const;
+
   // Role:
   void OnMessage(const NodeId& from, const Message& message) override;
   void OnTick() override;
--- a/source/agent/workflow_runner_reports.cc
+++ b/source/agent/workflow_runner_reports.cc
@@ -44,7 +44,7 @@
     return;
   }
   m_counters.Add("agent_searches_for_leader");
-  for (const NodeId& member : m_leader_tracker.members())
+  for (const NodeId& member : m_leader_tracker.candidates())
     m_transport.Send(member, report);
 }
 
--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -115,12 +115,24 @@
     if (IsLeading())
       m_workflows.OnReport(from, *report, m_next_batch.workflow, m_clock.Now());
     else
-      m_workflows.RedirectReport(from);
+      SendGroupView(from);
+    return true;
+  }
+  if (std::holds_alternative<GroupViewRequest>(message)) {
+    SendGroupView(from);
     return true;
   }
   return false;
 }
 
+void ControlRole::SendGroupView(const NodeId& to) {
+  GroupView view = MakeGroupView(*m_log, m_self);
+  // A leader that is about to leave handles no calls any more.
+  if (m_is_stopping && view.leader == m_self)
+    view.leader.clear();
+  m_transport.Send(to, view);
+}
+
 void ControlRole::OnWorkflowCall(const NodeId& from, const WorkflowCall& call) {
   const bool is_change = call.kind == WorkflowCallKind::kSubmit ||
                          call.kind == WorkflowCallKind::kCancel;
--- a/source/control/control_role.h
+++ b/source/control/control_role.h
@@ -125,6 +125,7 @@
   /// Handles a message about workflows; returns whether it was one.
   bool OnWorkflowMessage(const NodeId& from, const Message& message);
   void OnWorkflowCall(const NodeId& from, const WorkflowCall& call);
+  void SendGroupView(const NodeId& to);
   void OnAnnounce(const NodeId& from, const WorkerAnnounce& announce);
   void OnRenew(const NodeId& from, const LeaseRenew& renew);
   void OnReport(const NodeId& from, const LeaseReport& report);
--- a/source/control/membership_manager.cc
+++ b/source/control/membership_manager.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "source/control/workflow_callers.h"
+
 namespace fulmarrock {
 namespace {
 
@@ -61,13 +63,7 @@
     OnJoinRequest(from, request->incarnation);
     return true;
   }
-  GroupView view;
-  // A leader that lost its quorum must not be taken for one that has it.
-  if (m_log.IsLeader() || m_log.Leader() != m_self)
-    view.leader = m_log.Leader();
-  for (const Member& member : m_log.Members())
-    view.members.push_back(member.node);
-  m_transport.Send(from, view);
+  m_transport.Send(from, MakeGroupView(m_log, m_self));
   return true;
 }
 
--- a/source/control/workflow_callers.cc
+++ b/source/control/workflow_callers.cc
@@ -17,6 +17,15 @@
   return nodes;
 }
 
+GroupView MakeGroupView(const ReplicatedLog& log, const NodeId& self) {
+  GroupView view;
+  if (log.IsLeader() || log.Leader() != self)
+    view.leader = log.Leader();
+  view.members = MemberNodesOf(log);
+  view.term = log.CurrentTerm();
+  return view;
+}
+
 WorkflowCallers::WorkflowCallers(const WorkflowState& state,
                                  Transport& transport,
                                  RandomSource& random,
@@ -132,6 +141,7 @@
 
 void WorkflowCallers::Reply(const NodeId& entry, WorkflowReply reply) {
   reply.leader = m_log->Leader();
+  reply.term = m_log->CurrentTerm();
   m_transport.Send(entry, reply);
 }
 
--- a/source/control/workflow_callers.h
+++ b/source/control/workflow_callers.h
@@ -18,6 +18,10 @@
 /// Nodes of the control group's members.
 std::vector<NodeId> MemberNodesOf(const ReplicatedLog& log);
 
+/// Returns the group as the member `self` knows it. The leader is empty if none
+/// is known, or if this member was the leader and has lost its quorum.
+GroupView MakeGroupView(const ReplicatedLog& log, const NodeId& self);
+
 /// Handles callers' requests at the leader: replies at once where the state
 /// suffices, turns the other requests into commands, and replies to those when
 /// they are committed.
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -83,10 +83,6 @@
   m_links.clear();
 }
 
-void WorkflowService::RedirectReport(const NodeId& from) {
-  m_transport.Send(from, GroupView{m_log->Leader(), MemberNodesOf(*m_log)});
-}
-
 void WorkflowService::OnReport(const NodeId& from,
                                const WorkerReport& report,
                                WorkflowBatch& next,
--- a/source/control/workflow_service.h
+++ b/source/control/workflow_service.h
@@ -61,9 +61,6 @@
 
   void OnEffects(const WorkflowEffects& effects, Millis now);
 
-  /// Replies to the agent that this member is not the leader.
-  void RedirectReport(const NodeId& from);
-
   /// Returns the leader's view as JSON, for operators.
   std::string DumpState(Millis now) const;
 
--- a/source/daemon/daemon.cc
+++ b/source/daemon/daemon.cc
@@ -13,6 +13,10 @@
 namespace fulmarrock {
 namespace {
 
+/// How often the settings are read again while the leader of the control group
+/// is not found. They may name other members, also without a signal.
+constexpr Millis kSearchReloadInterval{5'000};
+
 TransportOptions MakeTransportOptions(const Settings& settings) {
   TransportOptions options;
   options.self = settings.node;
@@ -205,6 +209,7 @@
     m_agent->role().OnTick();
   if (m_workflows)
     m_workflows->OnTick();
+  ReloadWhileSearching();
   if (m_phase == ShutdownPhase::kNone)
     return;
   if (m_clock.Now() >= m_shutdown_deadline) {
@@ -249,11 +254,23 @@
   for (const PeerSettings& peer : settings->control_members)
     members.push_back(peer.node);
   if (m_workflows)
-    m_workflows->AddMembers(members);
+    m_workflows->SetSeeds(members);
   if (m_control)
     m_control->AddSeedNodes(members);
 }
 
+void Daemon::ReloadWhileSearching() {
+  const Millis now = m_clock.Now();
+  if (!m_workflows || !m_workflows->IsSearchingLeader()) {
+    m_next_search_reload = now + kSearchReloadInterval;
+    return;
+  }
+  if (now < m_next_search_reload)
+    return;
+  m_next_search_reload = now + kSearchReloadInterval;
+  Reload();
+}
+
 void Daemon::BeginGracefulShutdown(const std::string& reason) {
   if (m_phase != ShutdownPhase::kNone)
     return;
--- a/source/daemon/daemon.h
+++ b/source/daemon/daemon.h
@@ -50,6 +50,7 @@
   void OnTick();
   void OnStopSignal();
   void Reload();
+  void ReloadWhileSearching();
   void BeginGracefulShutdown(const std::string& reason);
   void EnterPhase(ShutdownPhase phase);
   bool IsPhaseDone() const;
@@ -74,6 +75,7 @@
   // Owned by the supervisor.
   ControlHost* m_control = nullptr;
   Supervisor m_supervisor;
+  Millis m_next_search_reload;
   ShutdownPhase m_phase = ShutdownPhase::kNone;
   Millis m_shutdown_deadline;
   int m_exit_code = 0;
--- a/source/daemon/workflow_host.cc
+++ b/source/daemon/workflow_host.cc
@@ -119,11 +119,16 @@
       [](const auto& server) { return server->open_calls() > 0; });
 }
 
-void WorkflowHost::AddMembers(const std::vector<NodeId>& members) {
+void WorkflowHost::SetSeeds(const std::vector<NodeId>& seeds) {
   if (m_gateway)
-    m_gateway->AddMembers(members);
+    m_gateway->SetSeeds(seeds);
   if (m_runner)
-    m_runner->AddMembers(members);
+    m_runner->SetSeeds(seeds);
+}
+
+bool WorkflowHost::IsSearchingLeader() const {
+  return (m_gateway && m_gateway->IsSearchingLeader()) ||
+         (m_runner && m_runner->IsSearchingLeader());
 }
 
 void WorkflowHost::AddDiagnostics(DiagnosticsFrontEnd& diagnostics) {
--- a/source/daemon/workflow_host.h
+++ b/source/daemon/workflow_host.h
@@ -48,8 +48,11 @@
   /// Whether a request that was read has not been answered yet.
   bool HasOpenCalls() const;
 
-  /// Adds nodes through which the control group may be found.
-  void AddMembers(const std::vector<NodeId>& members);
+  /// Replaces the members of the control group that the settings name.
+  void SetSeeds(const std::vector<NodeId>& seeds);
+
+  /// Whether the leader of the control group is not known or does not reply.
+  bool IsSearchingLeader() const;
 
   void AddDiagnostics(DiagnosticsFrontEnd& diagnostics);
 
--- a/source/entry/workflow_gateway.cc
+++ b/source/entry/workflow_gateway.cc
@@ -42,7 +42,7 @@
       m_transport(transport),
       m_random(random),
       m_decisions(decisions),
-      m_leader_tracker(m_options.control_members) {}
+      m_leader_finder(m_options.control_members, clock, transport, decisions) {}
 
 void WorkflowGateway::Call(WorkflowCall call, Millis deadline, Done done) {
   if (m_pending.size() >= kMaxPending) {
@@ -62,21 +62,8 @@
   Send(m_pending.emplace(id, std::move(pending)).first->second);
 }
 
-NodeId WorkflowGateway::ChooseMember(const PendingCall& pending) const {
-  // The leader first; if the call was last sent to the leader, the members in
-  // turn.
-  const std::set<NodeId>& members = m_leader_tracker.members();
-  if (!m_leader_tracker.leader().empty() &&
-      m_leader_tracker.leader() != pending.last_member)
-    return m_leader_tracker.leader();
-  if (members.empty())
-    return {};
-  const auto next = members.upper_bound(pending.last_member);
-  return next == members.end() ? *members.begin() : *next;
-}
-
 void WorkflowGateway::Send(PendingCall& pending) {
-  const NodeId member = ChooseMember(pending);
+  const NodeId member = m_leader_finder.ChooseNode();
   pending.sent_at = m_clock.Now();
   if (member.empty())
     return;
@@ -86,30 +73,23 @@
   m_transport.Send(member, pending.call);
 }
 
+void WorkflowGateway::SendToNewLeader() {
+  for (auto& [id, pending] : m_pending) {
+    if (pending.last_member != m_leader_finder.leader())
+      Send(pending);
+  }
+}
+
 void WorkflowGateway::OnMessage(const NodeId& from, const Message& message) {
-  const NodeId earlier_leader = m_leader_tracker.leader();
   if (const auto* reply = std::get_if<WorkflowReply>(&message)) {
     OnReply(from, *reply);
   } else if (const auto* view = std::get_if<GroupView>(&message)) {
-    m_leader_tracker.AddMembers(view->members);
-    m_leader_tracker.OnLeaderHint(view->leader);
+    const NodeId earlier_leader = m_leader_finder.leader();
+    m_leader_finder.OnGroupView(from, *view);
+    const NodeId& leader = m_leader_finder.leader();
+    if (!leader.empty() && leader != earlier_leader)
+      SendToNewLeader();
   }
-  LogLeaderChange(earlier_leader, from);
-}
-
-void WorkflowGateway::LogLeaderChange(const NodeId& earlier,
-                                      const NodeId& source) {
-  if (m_leader_tracker.leader() == earlier)
-    return;
-  m_counters.Add("entry_leader_changes");
-  m_decisions.Write(
-      DecisionLine("leader_changed")
-          .With("leader", m_leader_tracker.leader())
-          .With("earlier", earlier)
-          .With("source", source)
-          .With("known_members",
-                static_cast<int64_t>(m_leader_tracker.members().size()))
-          .With("waiting_calls", static_cast<int64_t>(m_pending.size())));
 }
 
 bool WorkflowGateway::IsFinalReply(WorkflowReplyKind kind) {
@@ -118,8 +98,6 @@
 }
 
 void WorkflowGateway::OnReply(const NodeId& from, const WorkflowReply& reply) {
-  const Millis now = m_clock.Now();
-  m_leader_tracker.AddMembers(reply.members);
   const auto it = m_pending.find(reply.call);
   if (it == m_pending.end()) {
     m_counters.Add("entry_late_replies");
@@ -135,7 +113,7 @@
     OnNotLeader(from, reply, pending);
     return;
   }
-  m_leader_tracker.OnLeaderReply(from, now);
+  m_leader_finder.OnLeaderReply(from, m_clock.Now());
   m_unanswered_since = Millis(0);
   // A refusal is final only if no earlier sending of the call may be stored.
   const bool is_refusal = reply.kind == WorkflowReplyKind::kRefused ||
@@ -151,12 +129,11 @@
                                   PendingCall& pending) {
   if (reply.kind == WorkflowReplyKind::kUnknownResult)
     pending.is_result_unknown = true;
-  const bool names_other_leader = !reply.leader.empty() && reply.leader != from;
-  if (names_other_leader || from == m_leader_tracker.leader())
-    m_leader_tracker.OnLeaderHint(names_other_leader ? reply.leader : NodeId());
+  m_leader_finder.OnNotLeader(from, reply);
   // A call is sent to a newly named leader at once; otherwise the tick sends it
   // to the next member.
-  if (names_other_leader && reply.leader != pending.last_member)
+  const NodeId& leader = m_leader_finder.leader();
+  if (!leader.empty() && leader != pending.last_member)
     Send(pending);
   else
     pending.sent_at = m_clock.Now() - kResendDelay + kLeaderSearchDelay;
@@ -164,6 +141,7 @@
 
 void WorkflowGateway::OnTick() {
   const Millis now = m_clock.Now();
+  m_leader_finder.OnTick();
   if (!m_pending.empty() && m_unanswered_since == Millis(0))
     m_unanswered_since = now;
   if (m_pending.empty())
@@ -175,6 +153,7 @@
         (!may_be_stored && now - pending.start_time >= kNotStoredTimeout)) {
       expired.push_back(id);
     } else if (now - pending.sent_at >= kResendDelay) {
+      m_leader_finder.OnUnanswered(pending.last_member, pending.sent_at);
       Send(pending);
     }
   }
@@ -191,7 +170,7 @@
             .With("workflow", FormatWorkflowKey(pending.call.key))
             .With("waited_ms", now - pending.start_time)
             .With("unanswered", static_cast<int64_t>(pending.unanswered.size()))
-            .With("leader", m_leader_tracker.leader())
+            .With("leader", m_leader_finder.leader())
             .With("outcome", may_be_stored ? "unknown_result" : "not_taken"));
     Finish(id, std::move(result));
   }
@@ -221,8 +200,8 @@
 }
 
 std::string WorkflowGateway::DumpState() const {
-  const nlohmann::json state = {{"leader", m_leader_tracker.leader()},
-                                {"members", m_leader_tracker.members()},
+  const nlohmann::json state = {{"leader", m_leader_finder.leader()},
+                                {"members", m_leader_finder.candidates()},
                                 {"waiting_calls", m_pending.size()},
                                 {"is_ready", IsReady()}};
   return ToJsonText(state);
--- a/source/entry/workflow_gateway.h
+++ b/source/entry/workflow_gateway.h
@@ -10,7 +10,7 @@
 #include "source/base/clock.h"
 #include "source/base/decision_log.h"
 #include "source/base/random_source.h"
-#include "source/message/leader_tracker.h"
+#include "source/entry/leader_finder.h"
 #include "source/message/role.h"
 #include "source/message/transport.h"
 
@@ -60,11 +60,14 @@
   /// Whether load balancers should send callers to this entry.
   bool IsReady() const;
 
-  /// Adds nodes that may be members of the control group.
-  void AddMembers(const std::vector<NodeId>& members) {
-    m_leader_tracker.AddMembers(members);
+  /// Replaces the members of the control group that the settings name.
+  void SetSeeds(const std::vector<NodeId>& seeds) {
+    m_leader_finder.SetSeeds(seeds);
   }
 
+  /// Whether the leader of the control group is not known.
+  bool IsSearchingLeader() const { return m_leader_finder.leader().empty(); }
+
   // Role:
   void OnMessage(const NodeId& from, const Message& message) override;
   void OnTick() override;
@@ -90,18 +93,17 @@
   };
 
   void Send(PendingCall& pending);
+  /// Sends the calls that other members got to the leader.
+  void SendToNewLeader();
   static bool MayBeStored(const PendingCall& pending) {
     return !pending.unanswered.empty() || pending.is_result_unknown;
   }
-  NodeId ChooseMember(const PendingCall& pending) const;
   void OnReply(const NodeId& from, const WorkflowReply& reply);
   void OnNotLeader(const NodeId& from,
                    const WorkflowReply& reply,
                    PendingCall& pending);
   void Finish(uint64_t call, CallResult result);
   static bool IsFinalReply(WorkflowReplyKind kind);
-  /// Logs the leader if it is another one than `earlier`.
-  void LogLeaderChange(const NodeId& earlier, const NodeId& source);
 
   const WorkflowGatewayOptions m_options;
   const Clock& m_clock;
@@ -109,7 +111,7 @@
   RandomSource& m_random;
   DecisionLog& m_decisions;
   Counters m_counters;
-  LeaderTracker m_leader_tracker;
+  LeaderFinder m_leader_finder;
   std::unordered_map<uint64_t, PendingCall> m_pending;
   // Start of the time without a leader's reply while calls are pending; zero if
   // none.
--- a/source/message/message.cc
+++ b/source/message/message.cc
@@ -19,7 +19,7 @@
     "VoteReply",       "AppendRequest",     "AppendReply",
     "SnapshotChunk",   "SnapshotAck",       "WorkflowCall",
     "WorkflowReply",   "WorkerReport",      "WorkerOrders",
-    "JoinRequest",     "GroupView"};
+    "JoinRequest",     "GroupView",         "GroupViewRequest"};
 
 }  // namespace
 
--- a/source/message/message.h
+++ b/source/message/message.h
@@ -51,7 +51,8 @@
                              WorkerReport,
                              WorkerInstructions,
                              JoinRequest,
-                             GroupView>;
+                             GroupView,
+                             GroupViewRequest>;
 
 /// Returns the type name of a message, for counters and traces.
 std::string_view MessageName(const Message& message);
--- a/source/message/workflow_messages.h
+++ b/source/message/workflow_messages.h
@@ -76,11 +76,13 @@
   std::vector<NodeId> members;
   /// Attempt of the call that this replies to; zero from older versions.
   uint32_t attempt = 0;
+  /// Term in which the leader was elected; zero from older versions.
+  Term term = 0;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.call, self.kind, self.phase, self.pending, self.retry_after,
-            self.leader, self.members, self.attempt);
+            self.leader, self.members, self.attempt, self.term);
   }
 };
 
@@ -294,15 +296,26 @@
   }
 };
 
-/// Control to a process that asked a member other than the leader: the leader
-/// and the members of the group.
+/// Entry process to any control member: asks for a GroupView.
+struct GroupViewRequest {
+  template <typename Self, typename Visitor>
+  static void VisitFields(Self&, Visitor& visitor) {
+    visitor();
+  }
+};
+
+/// A control member's view of its group: the reply to a GroupViewRequest, and
+/// to a message for the leader that another member received.
 struct GroupView {
+  /// The leader, or empty if not known.
   NodeId leader;
   std::vector<NodeId> members;
+  /// Term in which the leader was elected; zero from older versions.
+  Term term = 0;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
-    visitor(self.leader, self.members);
+    visitor(self.leader, self.members, self.term);
   }
 };
 
