Agent: Stop a refused run that an earlier process may have started

Seen in the test: a task ran twice at a time; one run started late on a worker that drains, the other one on the worker that the task had been assigned to since.

Cause: an agent process sends a start that gets no response, and ends. Its successor finds the worker draining and refuses the run finally, although the worker may still execute the start; elsewhere it refuses such a run only after a stop has got a response. Change: the refusal on a draining worker takes the same path, RefuseRun. A worker that has deregistered gets no stop, because it is gone.

--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -138,11 +138,13 @@
   if (!may_start) {
     // Without a final refusal control repeats the instruction until the agent
     // has polled its worker.
-    const bool is_refusal_final =
-        m_worker && (m_worker->is_draining || m_is_deregistered);
-    if (is_refusal_final)
+    if (m_is_deregistered) {
       EndRun(instruction.task, instruction.run, RunOutcome::kRefused,
              instruction.checkpoint, 0);
+    } else if (m_worker && m_worker->is_draining) {
+      AddRun(instruction);
+      RefuseRun(instruction.task, RunOutcome::kRefused);
+    }
     return;
   }
   const CapacityFit fit =
--- a/tests/cancellation/stopped_run_test.cc
+++ b/tests/cancellation/stopped_run_test.cc
@@ -65,6 +65,31 @@
   CHECK(RunningCount(cluster) == 0);
 }
 
+// Guards against a run that starts late on a draining worker while its task
+// runs elsewhere: the agent process that sent the start has been replaced, and
+// its successor gave up the run without a stop.
+TEST_CASE(
+    "A start of an earlier agent process does not execute while draining") {
+  RunningCluster test(2);
+  WorkflowCluster& cluster = test.cluster;
+  cluster.SetCapacity(1, {0, 0, 0});
+  cluster.Run(Millis(1'000));
+  cluster.agents[0]->worker.mode = Mode::kDelayedStart;
+  cluster.Submit(MakeLongTasks(kKey, 2));
+  cluster.Run(Millis(100));
+  REQUIRE(cluster.agents[0]->worker.start_calls() == 2);
+  cluster.CrashAgent(0);
+  cluster.agents[0]->worker.mode = Mode::kNormal;
+  cluster.agents[0]->is_draining = true;
+  cluster.StartAgent(0);
+  cluster.SetCapacity(1, {4'000, 4'096, 0});
+  cluster.Run(Millis(8'000));
+  CHECK(cluster.FindViolation() == "");
+  REQUIRE(cluster.Cancel(kKey).reply.kind == WorkflowReplyKind::kCancelled);
+  cluster.Run(kStopLimit);
+  CHECK(RunningCount(cluster) == 0);
+}
+
 // Guards against a leader that takes over after the cancellation and before
 // the stop instruction, and does not repeat it.
 TEST_CASE(
