Entry: Ignore the late reply of a leader that has been replaced

A reply that was committed before a hand-over and arrives after it named the old leader again, so that the next calls went there and waited for 500 ms if it had left. The reply now counts by its term, as a view of the group does. The test failed before.

--- a/source/entry/leader_finder.cc
+++ b/source/entry/leader_finder.cc
@@ -48,10 +48,10 @@
     SetLeader({}, from);
 }
 
-void LeaderFinder::OnLeaderReply(const NodeId& from, Millis now) {
-  m_unresponsive.erase(from);
-  SetLeader(from, from);
-  m_tracker.OnLeaderReply(from, now);
+void LeaderFinder::OnLeaderReply(const NodeId& from, Term term) {
+  OnNamedLeader(from, term, from);
+  if (leader() == from)
+    m_tracker.OnLeaderReply(from, m_clock.Now());
 }
 
 void LeaderFinder::OnNotLeader(const NodeId& from, const WorkflowReply& reply) {
--- a/source/entry/leader_finder.h
+++ b/source/entry/leader_finder.h
@@ -43,8 +43,8 @@
   /// A member described the group.
   void OnGroupView(const NodeId& from, const GroupView& view);
 
-  /// A member handled a call as the leader.
-  void OnLeaderReply(const NodeId& from, Millis now);
+  /// A member handled a call as the leader of a term; zero from older versions.
+  void OnLeaderReply(const NodeId& from, Term term);
 
   /// A member did not handle a call because it is not the leader.
   void OnNotLeader(const NodeId& from, const WorkflowReply& reply);
--- a/source/entry/workflow_gateway.cc
+++ b/source/entry/workflow_gateway.cc
@@ -113,7 +113,7 @@
     OnNotLeader(from, reply, pending);
     return;
   }
-  m_leader_finder.OnLeaderReply(from, m_clock.Now());
+  m_leader_finder.OnLeaderReply(from, reply.term);
   m_unanswered_since = Millis(0);
   // A refusal is final only if no earlier sending of the call may be stored.
   const bool is_refusal = reply.kind == WorkflowReplyKind::kRefused ||
--- a/tests/entry/leader_finder_test.cc
+++ b/tests/entry/leader_finder_test.cc
@@ -47,7 +47,7 @@
                     Term term,
                     const std::vector<NodeId>& members) {
     finder.OnGroupView(leader, {leader, members, term});
-    finder.OnLeaderReply(leader, clock.Now());
+    finder.OnLeaderReply(leader, term);
     transport.Take();
   }
 
@@ -76,7 +76,7 @@
   test.FollowLeader("b", 1, {"a", "b", "c"});
   const Millis sent_at = test.clock.Now();
   test.clock.Set(sent_at + Millis(100));
-  test.finder.OnLeaderReply("b", test.clock.Now());
+  test.finder.OnLeaderReply("b", 1);
   test.finder.OnUnanswered("b", sent_at);
   CHECK(test.finder.leader() == "b");
 }
@@ -101,6 +101,14 @@
   CHECK(test.finder.leader() == "c");
 }
 
+// Guards against the late reply of a leader that has been replaced.
+TEST_CASE("A reply from an earlier term does not name the leader") {
+  FinderFixture test;
+  test.FollowLeader("b", 3, {"a", "b", "c"});
+  test.finder.OnLeaderReply("a", 2);
+  CHECK(test.finder.leader() == "b");
+}
+
 // Guards against a search that ends with the same silent leader again and
 // again, because its followers have not noticed yet that it has left.
 TEST_CASE("Another member does not bring back a leader that did not reply") {
