Entry: Keep a leader that replies while a call waits

A leader with a slow disk keeps calls waiting for longer than 500 ms. Each of these calls had the entry drop the leader and ask all members, although the leader had replied to the question a moment before. Its view of the group now counts as a sign of life, so that one search answers for all waiting calls. The test failed before.

--- a/source/entry/leader_finder.cc
+++ b/source/entry/leader_finder.cc
@@ -37,11 +37,12 @@
 void LeaderFinder::OnGroupView(const NodeId& from, const GroupView& view) {
   m_unresponsive.erase(from);
   if (view.leader == from && view.term >= m_term) {
+    OnLeaderReply(from, view.term);
     m_tracker.SetMembers(view.members);
     m_is_request_open = false;
-  } else {
-    m_tracker.AddMembers(view.members);
+    return;
   }
+  m_tracker.AddMembers(view.members);
   if (!view.leader.empty())
     OnNamedLeader(view.leader, view.term, from);
   else if (from == leader())
--- a/source/entry/leader_finder.h
+++ b/source/entry/leader_finder.h
@@ -43,13 +43,15 @@
   /// A member described the group.
   void OnGroupView(const NodeId& from, const GroupView& view);
 
-  /// A member handled a call as the leader of a term; zero from older versions.
+  /// A member replied as the leader of a term; zero from older versions.
   void OnLeaderReply(const NodeId& from, Term term);
 
   /// A member did not handle a call because it is not the leader.
   void OnNotLeader(const NodeId& from, const WorkflowReply& reply);
 
-  /// A call that was sent to a node at `sent_at` got no reply in time.
+  /// A call that was sent to a node at `sent_at` got no reply in time. The
+  /// leader is dropped unless it sent something since: it may be slow with the
+  /// call.
   void OnUnanswered(const NodeId& node, Millis sent_at);
 
   /// Sends requests for the members and the leader that are due.
--- a/tests/entry/leader_finder_test.cc
+++ b/tests/entry/leader_finder_test.cc
@@ -81,6 +81,22 @@
   CHECK(test.finder.leader() == "b");
 }
 
+// Guards against a flood of searches, one for each waiting call, while a leader
+// with a slow disk keeps many calls waiting.
+TEST_CASE("A leader that describes the group stays the leader") {
+  FinderFixture test;
+  test.FollowLeader("b", 1, {"a", "b", "c"});
+  const Millis sent_at = test.clock.Now() + Millis(10);
+  test.clock.Set(sent_at + Millis(500));
+  test.finder.OnUnanswered("b", sent_at);
+  CHECK(test.transport.Take().size() == 3);
+  test.finder.OnGroupView("b", {"b", {"a", "b", "c"}, 1});
+  for (int call = 0; call < 5; ++call)
+    test.finder.OnUnanswered("b", sent_at + Millis(call));
+  CHECK(test.finder.leader() == "b");
+  CHECK(test.transport.Take().empty());
+}
+
 // Guards against calls that go to the same two members in turn.
 TEST_CASE("Without a leader calls go to all candidates in turn") {
   FinderFixture test;
