--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -53,6 +53,10 @@
   }
 }
 
+bool WorkflowRunner::IsSearchingLeader() const {
+  return m_worker && !m_leader_tracker.IsLeaderResponsive(m_clock.Now());
+}
+
 void WorkflowRunner::OnInstructions(const NodeId& from,
                                     const WorkerInstructions& instructions) {
   const Millis now = m_clock.Now();
@@ -67,7 +71,7 @@
     m_is_report_urgent = true;
   }
   m_term = instructions.term;
-  m_leader_tracker.AddMembers(instructions.members);
+  m_leader_tracker.SetMembers(instructions.members);
   m_leader_tracker.OnLeaderReply(from, now);
   m_events.OnStored(instructions.stored_sequence);
   if (m_events.last_end() == m_events.stored_end())
@@ -134,11 +138,13 @@
   if (!may_start) {
     // Without a final refusal control repeats the instruction until the agent
     // has polled its worker.
-    const bool is_refusal_final =
-        m_worker && (m_worker->is_draining || m_is_deregistered);
-    if (is_refusal_final)
+    if (m_is_deregistered) {
       EndRun(instruction.task, instruction.run, RunOutcome::kRefused,
              instruction.checkpoint, 0);
+    } else if (m_worker && m_worker->is_draining) {
+      AddRun(instruction);
+      RefuseRun(instruction.task, RunOutcome::kRefused);
+    }
     return;
   }
   const CapacityFit fit =
@@ -261,21 +267,36 @@
 }
 
 void WorkflowRunner::OnStopInstruction(const RunId& instruction) {
-  if (m_is_deregistered)
+  if (m_is_deregistered) {
+    LogStopInstruction(instruction, "worker_left");
     return;
+  }
   const auto it = m_runs.find(instruction.task);
-  if (it != m_runs.end() && it->second.run != instruction.run)
+  if (it != m_runs.end() && it->second.run != instruction.run) {
+    LogStopInstruction(instruction, "other_run");
     return;
+  }
   const bool is_known = it != m_runs.end();
+  // Control repeats the instruction until the end is stored.
   if (is_known && (it->second.stage == RunStage::kStopping ||
                    it->second.stage == RunStage::kStopped)) {
     return;
   }
+  LogStopInstruction(instruction, is_known ? "stop" : "stop_unknown_run");
   LocalRun& local = m_runs[instruction.task];
   local.run = instruction.run;
   StopRun(instruction.task);
 }
 
+void WorkflowRunner::LogStopInstruction(const RunId& instruction,
+                                        std::string_view outcome) {
+  m_decisions.Write(DecisionLine("stop_received")
+                        .With("task", ToString(instruction.task))
+                        .With("run", int64_t{instruction.run})
+                        .With("term", static_cast<int64_t>(m_term))
+                        .With("outcome", outcome));
+}
+
 void WorkflowRunner::StopRun(const TaskName& task) {
   LocalRun& local = m_runs.at(task);
   local.stage = RunStage::kStopping;
@@ -285,8 +306,11 @@
                  incarnation_number = m_incarnation_number](bool has_response) {
                   const auto it = m_runs.find(task);
                   if (incarnation_number != m_incarnation_number ||
-                      it == m_runs.end() || it->second.run != run ||
-                      !has_response) {
+                      it == m_runs.end() || it->second.run != run) {
+                    return;
+                  }
+                  if (!has_response) {
+                    m_counters.Add("agent_unanswered_stops");
                     return;
                   }
                   it->second.stage = RunStage::kStopped;
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "source/agent/lost_runs.h"
@@ -59,11 +60,14 @@
   /// ignored.
   bool OnDeregistration(const WorkerDeregistration& deregistration);
 
-  /// Adds nodes that may be members of the control group.
-  void AddMembers(const std::vector<NodeId>& members) {
-    m_leader_tracker.AddMembers(members);
+  /// Replaces the members of the control group that the settings name.
+  void SetSeeds(const std::vector<NodeId>& seeds) {
+    m_leader_tracker.SetSeeds(seeds);
   }
 
+  /// Whether the leader of the control group does not reply.
+  bool IsSearchingLeader() const;
+
   // Role:
   void OnMessage(const NodeId& from, const Message& message) override;
   void OnTick() override;
@@ -97,6 +101,7 @@
   void OnNewStartInstruction(const StartInstruction& instruction);
   void AddRun(const StartInstruction& instruction);
   void OnStopInstruction(const RunId& instruction);
+  void LogStopInstruction(const RunId& instruction, std::string_view outcome);
   void StartRun(const TaskName& task);
   void OnStartResponse(const TaskName& task,
                        RunNumber run,
@@ -123,6 +128,9 @@
                       const tl::expected<PollResponse, PollFailure>& response);
   void ProcessEndedRuns(const PollResponse& response);
   void ProcessListedRuns(const PollResponse& response, Millis sent_at);
+  /// Whether a confirmed stop must have ended the run when the worker received
+  /// a poll that was sent at `poll_sent_at`.
+  bool HasStopTimedOut(const LocalRun& local, Millis poll_sent_at) const;
   void ResolveUnlistedRuns(const std::set<TaskName>& listed_runs,
                            Millis sent_at);
 
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -30,9 +30,6 @@
 constexpr Millis kMoveInterval{500};
 constexpr size_t kMaxMoves = 12;
 
-/// How often the leader logs the amount of pending and active work.
-constexpr Millis kLoadLogInterval{1'000};
-
 }  // namespace
 
 WorkflowService::WorkflowService(const WorkflowState& state,
@@ -79,10 +76,6 @@
   m_links.clear();
 }
 
-void WorkflowService::RedirectReport(const NodeId& from) {
-  m_transport.Send(from, GroupView{m_log->Leader(), MemberNodesOf(*m_log)});
-}
-
 void WorkflowService::OnReport(const NodeId& from,
                                const WorkerReport& report,
                                WorkflowBatch& next,
@@ -238,28 +231,6 @@
   }
 }
 
-void WorkflowService::LogLoad(Millis now) {
-  if (now < m_next_load_log)
-    return;
-  m_next_load_log = now + kLoadLogInterval;
-  const SchedulingLoad load = m_scheduler.MeasureLoad();
-  m_decisions->Write(
-      DecisionLine("scheduling_load")
-          .With("open_workflows", static_cast<int64_t>(m_state.open().size()))
-          .With("waiting", load.pending)
-          .With("waiting_fillers", load.pending_best_effort)
-          .With("waiting_lasting", load.pending_long_running)
-          .With("active", load.active)
-          .With("active_fillers", load.active_best_effort)
-          .With("active_lasting", load.active_long_running)
-          .With("filler_cpu_millicores", load.best_effort_cpu_millicores)
-          .With("expected_idle_millicores", load.expected_idle_millicores)
-          .With("free_cpu_millicores", load.free_cpu_millicores)
-          .With("workers", static_cast<int64_t>(Statuses(now).size()))
-          .With("quarantined_workers",
-                m_scheduler.health().CountQuarantined()));
-}
-
 void WorkflowService::SendInterferenceCoefficients(Millis now,
                                                    WorkflowBatch& next) {
   if (now < m_next_interference_update)
@@ -413,21 +384,27 @@
   const WorkflowRecord* workflow = m_state.Find(key);
   if (!workflow)
     return;
-  m_decisions->Write(DecisionLine("workflow_ended")
-                         .With("workflow", FormatWorkflowKey(key))
-                         .With("phase", static_cast<int64_t>(workflow->phase))
-                         .With("runs", int64_t{workflow->active}));
+  int64_t stops = 0;
   for (uint32_t k = 0; k < workflow->occurrences.size(); ++k) {
     const auto& steps = workflow->occurrences[k].steps;
     for (uint32_t s = 0; s < steps.size(); ++s) {
       for (uint32_t i = 0; i < steps[s].tasks.size(); ++i) {
         const WorkflowTask& task = steps[s].tasks[i];
         WorkerLink* link = FindLink(task.worker);
-        if (task.stage == TaskStage::kActive && link)
-          link->AddStop({key, k, s, i}, task.run);
+        if (task.stage != TaskStage::kActive || !link)
+          continue;
+        link->AddStop({key, k, s, i}, task.run);
+        ++stops;
       }
     }
   }
+  // The runs without a stop instruction are on workers that have not reported
+  // to this leader; they get it with their first report.
+  m_decisions->Write(DecisionLine("workflow_ended")
+                         .With("workflow", FormatWorkflowKey(key))
+                         .With("phase", static_cast<int64_t>(workflow->phase))
+                         .With("runs", int64_t{workflow->active})
+                         .With("stops", stops));
 }
 
 void WorkflowService::SendDueInstructions(Millis now) {
@@ -464,23 +441,4 @@
   return link.worker() == worker ? &link : nullptr;
 }
 
-std::string WorkflowService::DumpState(Millis now) const {
-  nlohmann::json workers = nlohmann::json::array();
-  for (const auto& [number, entry] : m_state.workers()) {
-    const WorkerAllocation* allocation = m_scheduler.FindAllocation(number);
-    workers.push_back(
-        {{"worker", entry.agent},
-         {"life", entry.worker_incarnation.id},
-         {"runs", m_state.RunsOf(number).size()},
-         {"is_heard", m_leases.HasRecentReport(number, now)},
-         {"is_usable", m_scheduler.health().IsUsable(number, now)},
-         {"free_cpu_millicores", allocation ? allocation->free_cpu() : 0}});
-  }
-  return ToJsonText(nlohmann::json{
-      {"directory_version", m_state.queue_configuration().version},
-      {"open_workflows", m_state.open().size()},
-      {"blocked_steps", m_scheduler.blocked_steps()},
-      {"workers", std::move(workers)}});
-}
-
 }  // namespace fulmarrock
--- a/source/control/workflow_service.h
+++ b/source/control/workflow_service.h
@@ -61,9 +61,6 @@
 
   void OnEffects(const WorkflowEffects& effects, Millis now);
 
-  /// Replies to the agent that this member is not the leader.
-  void RedirectReport(const NodeId& from);
-
   /// Returns the leader's view as JSON, for operators.
   std::string DumpState(Millis now) const;
 
@@ -87,6 +84,7 @@
   /// Stops best-effort tasks that would run better on another worker.
   void MoveBestEffortTasks(const PlanningTime& time);
   void LogLoad(Millis now);
+  void LogOverdueStops(Millis now);
   void ReleaseExpired(const PlanningTime& time, WorkflowBatch& next);
   void Plan(const PlanningTime& time, WorkflowBatch& next);
   std::map<WorkerNumber, WorkerStatus> Statuses(Millis now) const;
