Entry: Limit searches for the leader, and drop one that is silent while idle

While a leader disclaims its office, as one that is about to stop, its followers still name it; the entry took and dropped it in turn and asked all members each time. And an entry without calls kept a leader that did not reply to its requests, so that the first cancellation after it paid for the search, and the settings were not read again. Searches are now at least 500 ms apart, also across such changes, and a leader that leaves a request for the members unanswered is dropped. A leader of an earlier version, which does not know the request, is not.

--- a/source/entry/leader_finder.cc
+++ b/source/entry/leader_finder.cc
@@ -1,5 +1,7 @@
 #include "source/entry/leader_finder.h"
 
+#include <algorithm>
+
 namespace fulmarrock {
 namespace {
 
@@ -51,8 +53,10 @@
 
 void LeaderFinder::OnLeaderReply(const NodeId& from, Term term) {
   OnNamedLeader(from, term, from);
-  if (leader() == from)
-    m_tracker.OnLeaderReply(from, m_clock.Now());
+  if (leader() != from)
+    return;
+  m_tracker.OnLeaderReply(from, m_clock.Now());
+  m_searching_since = m_clock.Now();
 }
 
 void LeaderFinder::OnNotLeader(const NodeId& from, const WorkflowReply& reply) {
@@ -70,8 +74,13 @@
       node == leader() && m_tracker.last_leader_reply() < sent_at;
   if (!is_leader_silent)
     return;
-  m_unresponsive.insert(node);
-  SetLeader({}, node);
+  DropLeader();
+}
+
+void LeaderFinder::DropLeader() {
+  const NodeId silent = leader();
+  m_unresponsive.insert(silent);
+  SetLeader({}, silent);
   Search();
 }
 
@@ -96,12 +105,10 @@
   const NodeId earlier = leader();
   if (next == earlier)
     return;
-  const Millis now = m_clock.Now();
   m_tracker.OnLeaderHint(next);
-  if (next.empty()) {
-    m_searching_since = now;
-    m_next_request = now;
-  }
+  if (next.empty())
+    m_next_request = std::min(m_next_request, m_last_search + kSearchInterval);
+  m_is_request_open = false;
   m_decisions.Write(
       DecisionLine("leader_changed")
           .With("leader", next)
@@ -117,17 +124,24 @@
     Forget(now);
   if (now < m_next_request)
     return;
-  if (leader().empty() || m_is_request_open) {
+  if (leader().empty()) {
     Search();
     return;
   }
+  // A leader of an earlier version, which tells no term, does not reply to
+  // these requests; it is dropped only if it does not reply to calls.
+  if (m_is_request_open && m_term != 0) {
+    DropLeader();
+    return;
+  }
   m_next_request = now + kRefreshInterval;
   m_is_request_open = true;
   m_transport.Send(leader(), GroupViewRequest{});
 }
 
 void LeaderFinder::Search() {
-  m_next_request = m_clock.Now() + kSearchInterval;
+  m_last_search = m_clock.Now();
+  m_next_request = m_last_search + kSearchInterval;
   for (const NodeId& node : candidates())
     m_transport.Send(node, GroupViewRequest{});
 }
--- a/source/entry/leader_finder.h
+++ b/source/entry/leader_finder.h
@@ -63,6 +63,8 @@
   /// known and the node has left no call unanswered.
   void OnNamedLeader(const NodeId& named, Term term, const NodeId& source);
   void SetLeader(const NodeId& next, const NodeId& source);
+  /// The leader sent nothing in time.
+  void DropLeader();
   /// Asks all candidates for the leader.
   void Search();
   void Forget(Millis now);
@@ -79,6 +81,8 @@
   Millis m_next_request;
   // Whether the last request for the members got no reply of the leader yet.
   bool m_is_request_open = false;
+  Millis m_last_search{-1'000'000};
+  // When a leader last replied.
   Millis m_searching_since;
 };
 
--- a/tests/entry/leader_finder_test.cc
+++ b/tests/entry/leader_finder_test.cc
@@ -20,12 +20,14 @@
   void Send(const NodeId& to, const Message& message) override {
     REQUIRE(std::holds_alternative<GroupViewRequest>(message));
     asked.insert(to);
+    ++request_count;
   }
   void LearnAddress(const NodeId&, std::string_view) override {}
 
   std::set<NodeId> Take() { return std::exchange(asked, {}); }
 
   std::set<NodeId> asked;
+  size_t request_count = 0;
 };
 
 class FinderFixture {
@@ -162,6 +164,24 @@
   test.transport.Take();
   test.Run(Millis(3'100));
   CHECK(test.transport.Take() == std::set<NodeId>{"a", "b", "c"});
+  CHECK(test.finder.leader().empty());
+}
+
+// Guards against searches in every tick while a leader that is about to leave
+// disclaims what its followers still say.
+TEST_CASE("Contradicting members do not cause more searches") {
+  FinderFixture test;
+  test.FollowLeader("b", 1, {"a", "b", "c"});
+  test.Run(Millis(600));
+  test.transport.request_count = 0;
+  for (int i = 0; i < 100; ++i) {
+    test.finder.OnGroupView("b", {"", {"a", "b", "c"}, 1});
+    test.Run(Millis(10));
+    test.finder.OnGroupView("a", {"b", {"a", "b", "c"}, 1});
+    test.Run(Millis(10));
+  }
+  // Two seconds, at most two searches of three members a second.
+  CHECK(test.transport.request_count <= 15);
 }
 
 // Guards against an entry that trusts nobody any more after a wrong term.
