Control: Replace a stop for an earlier run of the task

A stop that was left over from an earlier run, whose release the link did not notice, kept its place in the list, so that the stop of the current run was never sent; the agent ignores a stop for another run. A stop for another run now replaces it, and a link drops its stops when a new worker incarnation is registered.

--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -85,6 +85,8 @@
     return false;
   m_worker = worker;
   m_needs_full_report = true;
+  // They are for runs of earlier worker incarnations, which were released.
+  m_stops.clear();
   return true;
 }
 
@@ -171,7 +173,10 @@
 
 void WorkerLink::AddStop(const TaskName& task, RunNumber run) {
   m_starts.erase(task);
-  m_stops.try_emplace(task, PendingInstruction(run));
+  const auto it = m_stops.try_emplace(task, PendingInstruction(run)).first;
+  // An earlier run of the task may have ended without notice of this link.
+  if (it->second.run != run)
+    it->second = PendingInstruction(run);
 }
 
 void WorkerLink::OnRunEnded(const TaskName& task) {
