Agent: Look for starts that execute late in a restarted worker

A start without a response was recorded as possibly executing only if nothing had stopped the run before the response was given up; and a new agent process knows no starts of its predecessor, and did not poll a worker without known runs.

Two tests failed before; the fake worker can now execute a delayed start in its next incarnation.

--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -212,6 +212,12 @@
     m_lease.OnWorkerClock(*response.worker_clock, now);
     m_last_contact = now;
   }
+  // The request may still execute, also after the run has been stopped or its
+  // worker has been given up.
+  if (response.result == StartResult::kUnknown) {
+    m_counters.Add("agent_unanswered_starts");
+    m_unconfirmed_starts.Add(task, run, now);
+  }
   const auto it = m_runs.find(task);
   if (it == m_runs.end() || it->second.run != run)
     return;
@@ -236,8 +242,6 @@
       m_speed_limiter.Send(m_term);
       return;
     case StartResult::kUnknown:
-      m_counters.Add("agent_unanswered_starts");
-      m_unconfirmed_starts.Add(task, run, now);
       local.stage = RunStage::kUnconfirmed;
       local.since = now;
       return;
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -181,6 +181,8 @@
   // Highest number of an end that the last poll response listed; zero for none.
   uint64_t m_last_listed_end = 0;
   Millis m_next_poll;
+  // Until then the worker is polled even if it has no known run.
+  Millis m_poll_until;
   SpeedLimiter m_speed_limiter;
 
   Term m_term = 0;
--- a/source/agent/workflow_runner_announcements.cc
+++ b/source/agent/workflow_runner_announcements.cc
@@ -134,6 +134,8 @@
   m_last_listed_end = 0;
   m_needs_full_report = true;
   m_next_poll = now;
+  if (is_first || has_same_id)
+    m_poll_until = now + UnconfirmedStarts::kMaxRequestDelay;
   m_speed_limiter.OnNewWorkerIncarnation();
   if (!is_first)
     m_lease.ResetWorker(now, has_same_id);
--- a/source/agent/workflow_runner_polls.cc
+++ b/source/agent/workflow_runner_polls.cc
@@ -25,6 +25,10 @@
 bool WorkflowRunner::NeedsPoll() const {
   if (m_is_deregistered)
     return false;
+  // A start that an earlier agent process or worker incarnation got may still
+  // execute. Only a list shows it.
+  if (m_clock.Now() < m_poll_until)
+    return true;
   return !m_has_polled || !m_runs.empty() || m_last_listed_end != 0 ||
          m_events.last_end() > m_events.stored_end();
 }
--- a/tests/cancellation/stopped_run_test.cc
+++ b/tests/cancellation/stopped_run_test.cc
@@ -90,6 +90,50 @@
   CHECK(RunningCount(cluster) == 0);
 }
 
+// Guards against a start that executes late in a worker that restarted under
+// its id, after the run was stopped in the earlier incarnation.
+TEST_CASE("A stopped run does not start late in a restarted worker") {
+  RunningCluster test(1);
+  WorkflowCluster& cluster = test.cluster;
+  FakeRunWorker& worker = cluster.agents[0]->worker;
+  worker.delays_outlive_restart = true;
+  worker.mode = Mode::kDelayedStart;
+  cluster.Submit(MakeLongRunning(kKey, 2));
+  cluster.Run(Millis(100));
+  REQUIRE(worker.start_calls() == 2);
+  worker.mode = Mode::kNormal;
+  REQUIRE(cluster.Cancel(kKey).reply.kind == WorkflowReplyKind::kCancelled);
+  cluster.Run(Millis(1'500));
+  worker.Restart();
+  cluster.Run(Millis(1'500));
+  for (int i = 0; i < 300; ++i) {
+    cluster.Run(Millis(10));
+    REQUIRE(RunningCount(cluster) == 0);
+  }
+}
+
+// Guards against the same after the agent process was replaced, which knows
+// nothing of the start.
+TEST_CASE(
+    "A start of an earlier agent process is found in a restarted worker") {
+  RunningCluster test(1);
+  WorkflowCluster& cluster = test.cluster;
+  FakeRunWorker& worker = cluster.agents[0]->worker;
+  worker.delays_outlive_restart = true;
+  worker.mode = Mode::kDelayedStart;
+  cluster.Submit(MakeLongRunning(kKey, 2));
+  cluster.Run(Millis(100));
+  REQUIRE(worker.start_calls() == 2);
+  worker.mode = Mode::kNormal;
+  REQUIRE(cluster.Cancel(kKey).reply.kind == WorkflowReplyKind::kCancelled);
+  cluster.Run(Millis(1'000));
+  cluster.CrashAgent(0);
+  worker.Restart();
+  cluster.StartAgent(0);
+  cluster.Run(Millis(3'600));
+  CHECK(RunningCount(cluster) == 0);
+}
+
 // Guards against a leader that takes over after the cancellation and before
 // the stop instruction, and does not repeat it.
 TEST_CASE(
--- a/tests/support/fake_run_worker.cc
+++ b/tests/support/fake_run_worker.cc
@@ -80,7 +80,8 @@
   if (mode == Mode::kDelayedStart) {
     m_delayed_starts.push_back({m_clock.Now() + start_delay,
                                 [this, request, number, capacity = m_capacity] {
-                                  if (number == m_incarnation_number)
+                                  if (number == m_incarnation_number ||
+                                      delays_outlive_restart)
                                     Begin(request, capacity);
                                 }});
   }
--- a/tests/support/fake_run_worker.h
+++ b/tests/support/fake_run_worker.h
@@ -97,6 +97,9 @@
 
   Mode mode = Mode::kNormal;
   Millis start_delay{3'000};
+  /// Whether delayed starts execute in the next incarnation too. It has the
+  /// same id, so that it takes them for its own.
+  bool delays_outlive_restart = false;
   WorkerIncarnation worker_incarnation;
   /// Executions in all incarnations.
   std::vector<Execution> executions;
