Agent: Refuse runs on a draining worker only after polling it

A restarted agent could refuse, and so stop, a run that its draining worker executes and would complete, because it had not seen the worker's list yet. The test passes without the change too, since control then sends no such instruction before the first full report; it guards the order of the two.

--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -141,7 +141,7 @@
     if (m_is_deregistered) {
       EndRun(instruction.task, instruction.run, RunOutcome::kRefused,
              instruction.checkpoint, 0);
-    } else if (m_worker && m_worker->is_draining) {
+    } else if (m_worker && m_worker->is_draining && m_has_polled) {
       AddRun(instruction);
       RefuseRun(instruction.task, RunOutcome::kRefused);
     }
--- a/tests/cancellation/stopped_run_test.cc
+++ b/tests/cancellation/stopped_run_test.cc
@@ -134,6 +134,25 @@
   CHECK(RunningCount(cluster) == 0);
 }
 
+// Guards against an agent that refuses a run before it knows that the worker
+// executes it, and stops it without need.
+TEST_CASE("A restarted agent lets runs complete on a draining worker") {
+  WorkflowCluster cluster(3, 1, 1);
+  cluster.SetQueueConfiguration(1);
+  cluster.Run(Millis(3'000));
+  cluster.agents[0]->worker.duration = Millis(5'000);
+  cluster.Submit(MakeLongTasks(kKey, 3));
+  cluster.Run(Millis(500));
+  REQUIRE(RunningCount(cluster) == 3);
+  cluster.CrashAgent(0);
+  cluster.agents[0]->is_draining = true;
+  cluster.StartAgent(0);
+  cluster.Run(Millis(8'000));
+  for (const Execution& execution : cluster.Executions())
+    CHECK(execution.kind == RunOutcome::kDone);
+  CHECK(cluster.Executions().size() == 3);
+}
+
 // Guards against a leader that takes over after the cancellation and before
 // the stop instruction, and does not repeat it.
 TEST_CASE(
