Agent: End only after its stop requests have a response

A stop without a response was abandoned when the agent stopped, and the run lived until its lease ended. A stopping agent now repeats it, within its shutdown limit. The test failed before.

--- a/source/agent/workflow_runner_reports.cc
+++ b/source/agent/workflow_runner_reports.cc
@@ -96,7 +96,8 @@
   if (!m_is_shutting_down)
     return false;
   return std::none_of(m_runs.begin(), m_runs.end(), [](const auto& item) {
-    return item.second.stage == RunStage::kStarting;
+    return item.second.stage == RunStage::kStarting ||
+           item.second.stage == RunStage::kStopping;
   });
 }
 
--- a/tests/cancellation/stopped_run_test.cc
+++ b/tests/cancellation/stopped_run_test.cc
@@ -153,6 +153,24 @@
   CHECK(cluster.Executions().size() == 3);
 }
 
+// Guards against an agent process that ends while its stop request has no
+// response: nobody repeats it until the next process runs.
+TEST_CASE("An agent does not end before its stop requests have a response") {
+  RunningCluster test(1);
+  WorkflowCluster& cluster = test.cluster;
+  cluster.Submit(MakeLongRunning(kKey, 2));
+  cluster.Run(Millis(1'000));
+  cluster.agents[0]->worker.mode = Mode::kNoResponses;
+  REQUIRE(cluster.Cancel(kKey).reply.kind == WorkflowReplyKind::kCancelled);
+  cluster.Run(Millis(100));
+  cluster.agents[0]->runner->BeginShutdown();
+  CHECK_FALSE(cluster.agents[0]->runner->IsDrained());
+  cluster.agents[0]->worker.mode = Mode::kNormal;
+  cluster.Run(Millis(1'500));
+  CHECK(cluster.agents[0]->runner->IsDrained());
+  CHECK(RunningCount(cluster) == 0);
+}
+
 // Guards against a leader that takes over after the cancellation and before
 // the stop instruction, and does not repeat it.
 TEST_CASE(
