--- a/tests/cancellation/stopped_run_test.cc
+++ b/tests/cancellation/stopped_run_test.cc
@@ -90,6 +90,87 @@
   CHECK(RunningCount(cluster) == 0);
 }
 
+// Guards against a start that executes late in a worker that restarted under
+// its id, after the run was stopped in the earlier incarnation.
+TEST_CASE("A stopped run does not start late in a restarted worker") {
+  RunningCluster test(1);
+  WorkflowCluster& cluster = test.cluster;
+  FakeRunWorker& worker = cluster.agents[0]->worker;
+  worker.delays_outlive_restart = true;
+  worker.mode = Mode::kDelayedStart;
+  cluster.Submit(MakeLongRunning(kKey, 2));
+  cluster.Run(Millis(100));
+  REQUIRE(worker.start_calls() == 2);
+  worker.mode = Mode::kNormal;
+  REQUIRE(cluster.Cancel(kKey).reply.kind == WorkflowReplyKind::kCancelled);
+  cluster.Run(Millis(1'500));
+  worker.Restart();
+  cluster.Run(Millis(1'500));
+  for (int i = 0; i < 300; ++i) {
+    cluster.Run(Millis(10));
+    REQUIRE(RunningCount(cluster) == 0);
+  }
+}
+
+// Guards against the same after the agent process was replaced, which knows
+// nothing of the start.
+TEST_CASE(
+    "A start of an earlier agent process is found in a restarted worker") {
+  RunningCluster test(1);
+  WorkflowCluster& cluster = test.cluster;
+  FakeRunWorker& worker = cluster.agents[0]->worker;
+  worker.delays_outlive_restart = true;
+  worker.mode = Mode::kDelayedStart;
+  cluster.Submit(MakeLongRunning(kKey, 2));
+  cluster.Run(Millis(100));
+  REQUIRE(worker.start_calls() == 2);
+  worker.mode = Mode::kNormal;
+  REQUIRE(cluster.Cancel(kKey).reply.kind == WorkflowReplyKind::kCancelled);
+  cluster.Run(Millis(1'000));
+  cluster.CrashAgent(0);
+  worker.Restart();
+  cluster.StartAgent(0);
+  cluster.Run(Millis(3'600));
+  CHECK(RunningCount(cluster) == 0);
+}
+
+// Guards against an agent that refuses a run before it knows that the worker
+// executes it, and stops it without need.
+TEST_CASE("A restarted agent lets runs complete on a draining worker") {
+  WorkflowCluster cluster(3, 1, 1);
+  cluster.SetQueueConfiguration(1);
+  cluster.Run(Millis(3'000));
+  cluster.agents[0]->worker.duration = Millis(5'000);
+  cluster.Submit(MakeLongTasks(kKey, 3));
+  cluster.Run(Millis(500));
+  REQUIRE(RunningCount(cluster) == 3);
+  cluster.CrashAgent(0);
+  cluster.agents[0]->is_draining = true;
+  cluster.StartAgent(0);
+  cluster.Run(Millis(8'000));
+  for (const Execution& execution : cluster.Executions())
+    CHECK(execution.kind == RunOutcome::kDone);
+  CHECK(cluster.Executions().size() == 3);
+}
+
+// Guards against an agent process that ends while its stop request has no
+// response: nobody repeats it until the next process runs.
+TEST_CASE("An agent does not end before its stop requests have a response") {
+  RunningCluster test(1);
+  WorkflowCluster& cluster = test.cluster;
+  cluster.Submit(MakeLongRunning(kKey, 2));
+  cluster.Run(Millis(1'000));
+  cluster.agents[0]->worker.mode = Mode::kNoResponses;
+  REQUIRE(cluster.Cancel(kKey).reply.kind == WorkflowReplyKind::kCancelled);
+  cluster.Run(Millis(100));
+  cluster.agents[0]->runner->BeginShutdown();
+  CHECK_FALSE(cluster.agents[0]->runner->IsDrained());
+  cluster.agents[0]->worker.mode = Mode::kNormal;
+  cluster.Run(Millis(1'500));
+  CHECK(cluster.agents[0]->runner->IsDrained());
+  CHECK(RunningCount(cluster) == 0);
+}
+
 // Guards against a leader that takes over after the cancellation and before
 // the stop instruction, and does not repeat it.
 TEST_CASE(
