--- a/tests/cancellation/stopped_run_test.cc
+++ b/tests/cancellation/stopped_run_test.cc
@@ -84,7 +84,7 @@
   cluster.StartAgent(0);
   cluster.SetCapacity(1, {4'000, 4'096, 0});
   cluster.Run(Millis(8'000));
-  CHECK(cluster.FindViolation() == "");
+  CHECK(cluster.FindViolation().empty());
   REQUIRE(cluster.Cancel(kKey).reply.kind == WorkflowReplyKind::kCancelled);
   cluster.Run(kStopLimit);
   CHECK(RunningCount(cluster) == 0);
