Review: Show a job that runs although its submission got 404

The replies to a stored submission are lost in connections that went silent. The route is removed meanwhile, and the entry passes on the 404 to its next sending, although the earlier one may be stored.

--- a/review/common-2/cluster.py
+++ b/review/common-2/cluster.py
@@ -2,6 +2,7 @@
 addresses, with settings made from the templates in deploy/."""
 
 import asyncio
+import importlib.util
 import json
 import os
 import random
@@ -24,6 +25,15 @@
 RESTART_S = 0.3
 
 
+def load_proxy():
+    """Loads the project's loopback proxy."""
+    spec = importlib.util.spec_from_file_location(
+        "loopback_proxy", os.path.join(ROOT, "soak", "proxy.py"))
+    module = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module.Proxy
+
+
 class CannotRun(Exception):
     """The case can't run here."""
 
@@ -86,6 +96,10 @@
         self.control = f"{self.ip}:{cluster.base + 2}"
         self.frontend = f"{self.ip}:{cluster.base + 2}"
         self.ready = f"{self.ip}:{cluster.base + 3}"
+        # Behind a proxy, a process listens for messages at its own address, and
+        # the proxy at the address that its peers know.
+        self.proxy = None
+        self.own_ip = f"127.{cluster.octet}.{group + 10}.{index}"
         self.process = None
         self.should_run = True
         self.is_closed = False
@@ -105,6 +119,14 @@
                                "frontend": self.frontend,
                                "ready": self.ready},
             "bounds": self.cluster.bounds})
+        if self.proxy:
+            text = text.replace(f'"peer_listen": "{self.ip}:',
+                                f'"peer_listen": "{self.own_ip}:')
+        if self.role == "control" and self.cluster.known_to_control:
+            # Peers with a fixed address, so that the proxy stays in between.
+            peers = json.dumps([{"node": node.ip, "peer": f"{node.ip}:{base}"}
+                                for node in self.cluster.known_to_control])
+            text = text.replace('"roles":', f'"entries": {peers},\n  "roles":')
         path = os.path.join(self.folder, "node.json")
         with open(path, "w") as file:
             file.write(text)
@@ -198,8 +220,19 @@
             for i, node in enumerate(self.agents)]
         self.tasks = []
         self.version = 0
+        self.known_to_control = []
+
+    def add_proxies(self, nodes):
+        """Puts a proxy before the nodes, on their messages from control."""
+        proxy_class = load_proxy()
+        for node in nodes:
+            node.proxy = proxy_class(f"{node.ip}:{self.base}",
+                                     f"{node.own_ip}:{self.base}")
+            self.known_to_control.append(node)
 
     async def start(self):
+        for node in self.known_to_control:
+            await node.proxy.start()
         self.tasks = [asyncio.create_task(node.run()) for node in self.nodes]
         await asyncio.sleep(0.5)
         for executor in self.executors:
@@ -222,6 +255,8 @@
             node.signal(signal.SIGKILL)
         for executor in self.executors:
             executor.close()
+        for node in self.known_to_control:
+            node.proxy.server.close()
         for node in self.nodes:
             if node.process:
                 await node.process.wait()
