Review: Show two runs of a task after a machine was suspended

The lease of an executor is measured on its steady clock, which doesn't count a suspension; its agent compares it with CLOCK_BOOTTIME, which does, and reports on waking that all runs have ended.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,5 @@
-"""An agent's machine freezes while its executor leaves. The executor gets no
-acknowledgement of its deregistration and ends some seconds later; the agent
-reads the deregistration when it wakes."""
+"""A machine with an executor and its agent is suspended for some seconds. The
+executor's steady clock, and so its lease, doesn't count that time."""
 
 import asyncio
 import os
@@ -11,11 +10,10 @@
 sys.path.insert(0, os.path.join(HERE, "..", "common-2"))
 import cluster as deployment  # noqa: E402
 
-TASK_S = 12.0
-DRAIN_S = 2.5
-FREEZE_S = 4.0
-ATTEMPTS = 3
-LINGER_S = 2.0
+AGENTS = 10
+TASK_S = 15.0
+SUSPENDED_S = 6.0
+BOUNDS = {"hold_max_ms": 6000, "stop_ms": 200}
 
 
 class Watch(deployment.Observer):
@@ -33,35 +31,45 @@
 
 
 def task_of(task, request):
-    return TASK_S, {"cpu": 3500, "mem_mb": 3200}
+    return TASK_S, {"cpu": 1800, "mem_mb": 3200}
+
+
+async def submit(cluster, count):
+    job = deployment.new_id()
+    accepted = await cluster.submit(job, {"spec": "plan", "steps": [
+        {"count": count, "cpu": 1800, "mem_mb": 3200,
+         "estimate_ms": int(TASK_S * 1000)}]})
+    if not accepted:
+        raise deployment.CannotRun("a job was not accepted")
+    return job
 
 
 async def case(observer):
-    cluster = deployment.Cluster(observer, task_of, agents=10)
+    cluster = deployment.Cluster(observer, task_of, agents=AGENTS,
+                                 bounds=BOUNDS)
     try:
         await cluster.start()
-        job = deployment.new_id()
-        accepted = await cluster.submit(job, {"spec": "plan", "steps": [
-            {"count": 4, "cpu": 3500, "mem_mb": 3200,
-             "estimate_ms": int(TASK_S * 1000)}]})
-        if not accepted:
-            raise deployment.CannotRun("the job was not accepted")
-        await asyncio.sleep(1.0)
-        leaving = next(executor for executor in cluster.executors
-                       if executor.runs)
-        agent = cluster.agents[cluster.executors.index(leaving)]
-        await leaving.drain(DRAIN_S)
+        job = await submit(cluster, 4)
+        await asyncio.sleep(2.0)
+        executor = next((executor for executor in cluster.executors
+                         if executor.runs), None)
+        if executor is None:
+            raise deployment.CannotRun("the job did not start")
+        agent = cluster.agents[cluster.executors.index(executor)]
         if deployment.has_trouble():
-            observer.note(f"{agent.name}: freezes for {FREEZE_S} s")
+            observer.note(f"the machine of {agent.name} and {executor.name} is "
+                          f"suspended for {SUSPENDED_S} s")
             agent.signal(signal.SIGSTOP)
-        ending = asyncio.create_task(
-            leaving.deregister(ATTEMPTS, LINGER_S))
-        await asyncio.sleep(FREEZE_S)
+            executor.suspend()
+        await asyncio.sleep(2.0)
+        # Some other work arrives meanwhile, as on any day.
+        await submit(cluster, 1)
+        await asyncio.sleep(SUSPENDED_S - 2.0)
         if deployment.has_trouble():
-            observer.note(f"{agent.name}: wakes")
+            observer.note("the machine resumes")
+            executor.resume()
             agent.signal(signal.SIGCONT)
-        await ending
-        for _ in range(60):
+        for _ in range(80):
             if await cluster.state(job) == "completed":
                 break
             await asyncio.sleep(0.5)
--- a/review/common-2/executor.py
+++ b/review/common-2/executor.py
@@ -42,13 +42,18 @@
         self.task_of = task_of
         self.service = service
         self.rack = rack
+        self.kind = "a"
         self.capacity = capacity or {"cpu": 16000, "mem_mb": 64000, "gpu": 0}
         self.guards = guards
         self.hold_max_ms = hold_max_ms
         self.stop_ms = stop_ms
         self.heartbeat_s = heartbeat_s
+        self.platform = None
         self.is_up = False
         self.is_closed = False
+        self.suspended_at = None
+        self.resumed = asyncio.Event()
+        self.resumed.set()
         self.server = None
         self.writers = set()
         self.generation = 0
@@ -81,6 +86,22 @@
         asyncio.create_task(self.send_heartbeats())
         asyncio.create_task(self.tick())
 
+    def suspend(self):
+        """The machine is suspended: nothing here runs, and the steady clock
+        stands still."""
+        self.suspended_at = time.monotonic()
+        self.resumed.clear()
+
+    def resume(self):
+        pause = time.monotonic() - self.suspended_at
+        self.suspended_at = None
+        self.started += pause
+        for run in self.runs.values():
+            run.started += pause
+            if run.stop_at is not None:
+                run.stop_at += pause
+        self.resumed.set()
+
     def close(self):
         self.is_closed = True
         self.is_up = False
@@ -90,9 +111,11 @@
     def crash(self):
         """Everything that runs here is gone, and all connections break."""
         self.is_up = False
-        for task, run in list(self.runs.items()):
+        lost, self.runs = self.runs, {}
+        for task, run in lost.items():
             self.observer.on_end(self, task, run.number, "crashed", False)
-        self.runs = {}
+            if self.platform:
+                self.platform.on_lost(task, run.number)
         for writer in list(self.writers):
             writer.transport.abort()
 
@@ -107,7 +130,7 @@
         body = {"service": self.service, "address": self.listen,
                 "zone": "zone-a", "version": "v1", "slots": 8,
                 "state": self.state, "cold_remaining_ms": 0,
-                "capacity": self.capacity, "labels": ["a", self.rack],
+                "capacity": self.capacity, "labels": [self.kind, self.rack],
                 "clock_ms": self.clock_ms(), "born": self.born,
                 "sequence": self.sequence}
         if self.drain_until is not None:
@@ -119,6 +142,7 @@
 
     async def send_heartbeats(self):
         while not self.is_closed:
+            await self.resumed.wait()
             if self.is_up and not self.is_leaving:
                 await self.beat()
             await asyncio.sleep(self.heartbeat_s)
@@ -162,6 +186,7 @@
     async def tick(self):
         while not self.is_closed:
             await asyncio.sleep(0.01)
+            await self.resumed.wait()
             if not self.is_up:
                 continue
             now = time.monotonic()
@@ -171,26 +196,29 @@
             for task, run in list(self.runs.items()):
                 if run.stop_at is not None and now >= run.stop_at:
                     self.end_run(task, "stopped")
-                elif (run.duration_s is not None
+                elif (run.duration_s is not None and not self.platform
                       and now - run.started >= run.duration_s):
                     self.end_run(task, "done")
 
-    def end_run(self, task, how):
+    def end_run(self, task, how, saved=""):
         run = self.runs.pop(task)
         at_work = run.percent(time.monotonic()) == 100
         self.highest_ended[task] = max(self.highest_ended.get(task, 0),
                                        run.number)
         self.end_number += 1
-        self.ends.append([self.end_number, task, run.number, how, ""])
+        self.ends.append([self.end_number, task, run.number, how, saved])
         self.observer.on_end(self, task, run.number, how, at_work)
         self.end_added.set()
         self.end_added = asyncio.Event()
+        if self.platform:
+            self.platform.on_lost(task, run.number)
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
         generation = self.generation
         try:
             while message := await read_message(reader):
+                await self.resumed.wait()
                 if not self.is_up or generation != self.generation:
                     break
                 path = message[0].split()[1]
@@ -200,6 +228,7 @@
                 else:
                     status, body = await self.handle(
                         path, json.loads(message[2] or b"{}"))
+                await self.resumed.wait()
                 if not self.is_up or generation != self.generation:
                     break
                 payload = json.dumps(body).encode()
@@ -252,6 +281,8 @@
         if self.guards and not fits:
             self.extend(body["until_ms"])
             return 409, self.about(reason="room")
+        if self.platform and not self.platform.admit(self, task, number, body):
+            return 400, self.about()
         self.extend(body["until_ms"])
         self.runs[task] = Run(number, body, duration, needs)
         self.observer.on_start(self, task, number, body)
