Review: Show a gang that never starts again after one failed run

A member that failed avoids its worker as long as any other worker of the service is there, also one that may not run it, and gangs lack the way out that other steps have. It takes the place of the gang with different checkpoints, whose result depends on how an executor treats them.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,57 +1,64 @@
-"""An executor crashes beneath one member of a gang that checkpoints. Executors
-on this platform take a start of a gang's member only with the checkpoint that
-the other members of that run carry."""
+"""One member of a gang ends `failed` once. The gang needs the label of one
+executor, which is sound and empty from then on."""
 
 import asyncio
 import os
 import sys
+import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "common-2"))
 import cluster as deployment  # noqa: E402
 import gang  # noqa: E402
 
-AGENTS = 8
+AGENTS = 10
+LABEL = "b"
 MEMBERS = 3
-TASK_S = 12.0
-WORK_S = 4.0
-DOWN_S = 2.0
-CALM_S = 15.0
-WATCHED_S = 25.0
+TASK_S = 4.0
+FINISH_S = 14.0
+IDLE_S = 3.0
+WATCHED_S = 12.0
 
 
 def task_of(task, request):
-    return TASK_S, {"cpu": 12000, "mem_mb": 8000}
+    return TASK_S, {"cpu": 1800, "mem_mb": 3200}
 
 
 async def case(observer):
     cluster = deployment.Cluster(observer, task_of, agents=AGENTS)
-    platform = gang.Platform(cluster.executors, observer, MEMBERS, TASK_S)
+    gang.Platform(cluster.executors, observer, MEMBERS, TASK_S)
+    labelled = cluster.executors[-1]
+    labelled.kind = LABEL
     try:
         await cluster.start()
         job = deployment.new_id()
         accepted = await cluster.submit(job, {"spec": "plan", "steps": [
-            {"count": MEMBERS, "cpu": 12000, "mem_mb": 8000, "gang": True,
-             "checkpointing": True, "estimate_ms": int(TASK_S * 1000)}]})
+            {"count": MEMBERS, "cpu": 1800, "mem_mb": 3200, "gang": True,
+             "required_label": LABEL, "estimate_ms": int(TASK_S * 1000)}]})
         if not accepted:
             raise deployment.CannotRun("the job was not accepted")
-        await asyncio.sleep(WORK_S)
-        crashed = next((executor for executor in cluster.executors
-                        if executor.runs), None)
-        if crashed is None:
+        await asyncio.sleep(2.0)
+        if len(labelled.runs) != MEMBERS:
             raise deployment.CannotRun("the gang did not start")
         if deployment.has_trouble():
-            observer.note(f"{crashed.name}: crashes")
-            crashed.crash()
-            await asyncio.sleep(DOWN_S)
-            crashed.restart()
-            observer.note(f"{crashed.name}: is back")
-        await asyncio.sleep(CALM_S)
-        platform.begin_calm()
-        for _ in range(int(WATCHED_S)):
-            if await cluster.state(job) == "completed":
+            labelled.end_run(sorted(labelled.runs)[0], "failed")
+        # The end of the traffic; finish_s later jobs are asked for.
+        await asyncio.sleep(FINISH_S)
+        idle_since = time.monotonic()
+        end = idle_since + WATCHED_S
+        while time.monotonic() < end:
+            if any(executor.runs for executor in cluster.executors):
+                idle_since = time.monotonic()
+            state = await cluster.state(job)
+            if state == "completed":
                 break
-            await asyncio.sleep(1.0)
+            idle_s = time.monotonic() - idle_since
+            if idle_s >= IDLE_S:
+                observer.fail(
+                    f"LOST: the job is {state} with nothing running for "
+                    f"{idle_s:.1f} s, and every executor is empty")
+                break
+            await asyncio.sleep(0.2)
         observer.note(f"client: the job is {await cluster.state(job)}")
     finally:
         await cluster.stop()
