--- a/review/common-2/gang.py
+++ b/review/common-2/gang.py
@@ -11,8 +11,9 @@
 class GangRun:
     """One run of a gang."""
 
-    def __init__(self, size, checkpoint):
+    def __init__(self, size, checkpoint, has_checkpoints):
         self.size = size
+        self.has_checkpoints = has_checkpoints
         self.checkpoint = checkpoint
         self.members = {}
         self.started = {}
@@ -25,7 +26,7 @@
         return self.had_worked_s + time.monotonic() - self.began
 
     def saved(self, job):
-        if self.began is None:
+        if self.began is None or not self.has_checkpoints:
             return self.checkpoint
         return f"{int(self.worked_s() * 1000):08x}{job[4:12]}"
 
@@ -33,7 +34,9 @@
 class Platform:
     """Keeps the gang runs of one job step for all executors."""
 
-    def __init__(self, executors, observer, size, duration_s):
+    def __init__(self, executors, observer, size, duration_s,
+                 has_checkpoints=False):
+        self.has_checkpoints = has_checkpoints
         self.observer = observer
         self.size = size
         self.duration_s = duration_s
@@ -52,7 +55,8 @@
         members of that run that are present."""
         key = (task.rpartition(".")[0], number)
         checkpoint = request.get("checkpoint", "")
-        run = self.runs.setdefault(key, GangRun(self.size, checkpoint))
+        run = self.runs.setdefault(key, GangRun(
+            self.size, checkpoint, self.has_checkpoints))
         if not run.members:
             run.checkpoint = checkpoint
         if run.checkpoint != checkpoint:
