--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,66 +1,106 @@
-"""One member of a gang ends `failed` once. The gang needs the label of one
-executor, which is sound and empty from then on."""
+"""An entry that is stopping gets SIGTERM a second time, while clients submit
+jobs at the rate of a busy moment."""
 
 import asyncio
 import os
+import signal
 import sys
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "common-2"))
 import cluster as deployment  # noqa: E402
-import gang  # noqa: E402
 
-AGENTS = 10
-LABEL = "b"
-MEMBERS = 3
-TASK_S = 4.0
-FINISH_S = 14.0
-IDLE_S = 3.0
-WATCHED_S = 12.0
+JOBS_PER_S = 60
+LENGTH_S = 80.0
+BETWEEN_SIGNALS_S = 1.0
+GRACE_S = 6
+PAUSE_S = 1.6
+
+
+class Watch(deployment.Observer):
+    def __init__(self, path):
+        super().__init__(path)
+        self.started = set()
+        self.answers = {}
+
+    def on_start(self, executor, task, run, request):
+        super().on_start(executor, task, run, request)
+        self.started.add(task.split(".")[0])
+
+
+deployment.Observer = Watch
 
 
 def task_of(task, request):
-    return TASK_S, {"cpu": 1800, "mem_mb": 3200}
+    return 0.3, {"cpu": 240, "mem_mb": 480}
+
+
+async def submit(cluster):
+    """Sends a job as clients do: again after no response, a broken connection,
+    a 502 or a 504."""
+    job = deployment.new_id()
+    answers = cluster.observer.answers.setdefault(job, [])
+    for _ in range(5):
+        response = await cluster.client("POST", deployment.PREFIX + job, {
+            "spec": "cell", "steps": [{"count": 1, "cpu": 240, "mem_mb": 480,
+                                       "estimate_ms": 300}]})
+        answers.append(response[0] if response else None)
+        if answers[-1] != 200:
+            cluster.observer.note(f"client: POST {job}: {answers[-1]}")
+        if answers[-1] not in (None, 502, 504):
+            return
+        await asyncio.sleep(0.5)
+
+
+async def send_jobs(cluster):
+    while True:
+        asyncio.create_task(submit(cluster))
+        await asyncio.sleep(1 / JOBS_PER_S)
+
+
+async def stop_entry(cluster):
+    entry = cluster.entries[0]
+    process = entry.process
+    cluster.observer.note(f"{entry.name}: SIGTERM")
+    process.send_signal(signal.SIGTERM)
+    await asyncio.sleep(BETWEEN_SIGNALS_S)
+    if deployment.has_trouble() and process.returncode is None:
+        cluster.observer.note(f"{entry.name}: SIGTERM again")
+        process.send_signal(signal.SIGTERM)
+    try:
+        await asyncio.wait_for(process.wait(), GRACE_S)
+    except asyncio.TimeoutError:
+        process.kill()
+        await process.wait()
+    cluster.observer.note(f"{entry.name}: has ended ({process.returncode})")
 
 
 async def case(observer):
-    cluster = deployment.Cluster(observer, task_of, agents=AGENTS)
-    gang.Platform(cluster.executors, observer, MEMBERS, TASK_S)
-    labelled = cluster.executors[-1]
-    labelled.kind = LABEL
+    cluster = deployment.Cluster(observer, task_of, agents=4, entries=1)
+    jobs = None
     try:
         await cluster.start()
-        job = deployment.new_id()
-        accepted = await cluster.submit(job, {"spec": "plan", "steps": [
-            {"count": MEMBERS, "cpu": 1800, "mem_mb": 3200, "gang": True,
-             "required_label": LABEL, "estimate_ms": int(TASK_S * 1000)}]})
-        if not accepted:
-            raise deployment.CannotRun("the job was not accepted")
-        await asyncio.sleep(2.0)
-        if len(labelled.runs) != MEMBERS:
-            raise deployment.CannotRun("the gang did not start")
-        if deployment.has_trouble():
-            labelled.end_run(sorted(labelled.runs)[0], "failed")
-        # The end of the traffic; finish_s later jobs are asked for.
-        await asyncio.sleep(FINISH_S)
-        idle_since = time.monotonic()
-        end = idle_since + WATCHED_S
+        jobs = asyncio.create_task(send_jobs(cluster))
+        end = time.monotonic() + LENGTH_S
         while time.monotonic() < end:
-            if any(executor.runs for executor in cluster.executors):
-                idle_since = time.monotonic()
-            state = await cluster.state(job)
-            if state == "completed":
-                break
-            idle_s = time.monotonic() - idle_since
-            if idle_s >= IDLE_S:
-                observer.fail(
-                    f"LOST: the job is {state} with nothing running for "
-                    f"{idle_s:.1f} s, and every executor is empty")
-                break
-            await asyncio.sleep(0.2)
-        observer.note(f"client: the job is {await cluster.state(job)}")
+            await asyncio.sleep(PAUSE_S)
+            if cluster.entries[0].process is not None:
+                await stop_entry(cluster)
+        jobs.cancel()
+        await asyncio.sleep(5.0)
+        refused = [job for job, answers in observer.answers.items()
+                   if answers and all(answer in (404, 429, 503)
+                                      for answer in answers)]
+        ran = [job for job in refused if job in observer.started]
+        observer.note(f"{len(observer.answers)} jobs, {len(refused)} of them "
+                      f"refused, {len(ran)} of these ran")
+        for job in ran:
+            observer.fail(f"REFUSED: {job} ran; its only answers were "
+                          f"{observer.answers[job]}")
     finally:
+        if jobs:
+            jobs.cancel()
         await cluster.stop()
 
 
