Review: Show two runs of a task after a restart under the same id

An executor that is back under its id takes the longest lease from a start that was meant for its earlier incarnation, and answers nothing; its agent counts the shorter lease that it gave.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,5 +1,5 @@
-"""The open connections from control to an entry go silent while new ones work.
-A client submits a job; soon after, the operator removes the job's route."""
+"""An executor crashes, is back at once under its id, and then carries out calls
+without an answer for some seconds. A job arrives before its first heartbeat."""
 
 import asyncio
 import os
@@ -9,68 +9,71 @@
 sys.path.insert(0, os.path.join(HERE, "..", "common-2"))
 import cluster as deployment  # noqa: E402
 
-OLD_PREFIX = "/old/"
-CLIENTS = 3
+AGENTS = 10
+TASK_S = 12.0
+DOWN_S = 0.3
+MUTE_S = 5.5
+BOUNDS = {"hold_max_ms": 6000, "stop_ms": 200}
 
 
 class Watch(deployment.Observer):
-    def __init__(self, path):
-        super().__init__(path)
-        self.started = set()
-
     def on_start(self, executor, task, run, request):
+        others = {name: number for name, number
+                  in self.running.get(task, {}).items()
+                  if name != executor.name}
         super().on_start(executor, task, run, request)
-        self.started.add(task.split(".")[0])
+        if others:
+            self.fail(f"TWICE: {task} run {run} starts on {executor.name} "
+                      f"while it runs on {others}")
 
 
 deployment.Observer = Watch
 
 
 def task_of(task, request):
-    return 1.7, {"cpu": 1000, "mem_mb": 500}
+    return TASK_S, {"cpu": 1800, "mem_mb": 3200}
 
 
-async def submit_until_clear(cluster, job):
-    """Sends a job as clients do: again after no response, a broken connection,
-    a 502 or a 504. Returns the statuses of all attempts."""
-    body = {"spec": "plan", "steps": [
-        {"count": 2, "cpu": 1000, "mem_mb": 500, "estimate_ms": 1700}]}
-    statuses = []
-    for attempt in range(5):
-        response = await cluster.client("POST", OLD_PREFIX + job, body)
-        statuses.append(response[0] if response else None)
-        cluster.observer.note(f"client: POST {OLD_PREFIX}{job}: {statuses[-1]}")
-        if statuses[-1] not in (None, 502, 504):
-            break
-        await asyncio.sleep(0.3)
-    return statuses
+async def submit(cluster, count):
+    job = deployment.new_id()
+    accepted = await cluster.submit(job, {"spec": "plan", "steps": [
+        {"count": count, "cpu": 1800, "mem_mb": 3200,
+         "estimate_ms": int(TASK_S * 1000)}]})
+    if not accepted:
+        raise deployment.CannotRun("a job was not accepted")
+    return job
 
 
 async def case(observer):
-    cluster = deployment.Cluster(observer, task_of, agents=4, entries=1)
-    cluster.add_proxies(cluster.entries)
+    cluster = deployment.Cluster(observer, task_of, agents=AGENTS,
+                                 bounds=BOUNDS)
     try:
         await cluster.start()
-        await cluster.set_config({deployment.PREFIX: {}, OLD_PREFIX: {}})
-        await asyncio.sleep(3.0)
-        # Both ways of the link have been used.
-        await cluster.client("GET", OLD_PREFIX)
+        await submit(cluster, 1)
+        await asyncio.sleep(1.5)
+        executor = next((executor for executor in cluster.executors
+                         if executor.runs), None)
+        if executor is None:
+            raise deployment.CannotRun("the job did not start")
+        if deployment.has_trouble():
+            observer.note(f"{executor.name}: crashes")
+            executor.crash()
+            await asyncio.sleep(DOWN_S)
+            executor.restart(keeps_id=True)
+            executor.set_mute(True)
+            observer.note(f"{executor.name}: is back under its id, and answers "
+                          f"nothing for {MUTE_S} s")
+        await asyncio.sleep(0.2)
+        job = await submit(cluster, 3)
+        await asyncio.sleep(MUTE_S - 0.2)
         if deployment.has_trouble():
-            observer.note("entry1: its open connections from control go silent")
-            cluster.entries[0].proxy.blackhole()
-        jobs = [deployment.new_id() for _ in range(CLIENTS)]
-        clients = [asyncio.create_task(submit_until_clear(cluster, job))
-                   for job in jobs]
-        await asyncio.sleep(0.6)
-        await cluster.set_config({deployment.PREFIX: {}})
-        results = dict(zip(jobs, await asyncio.gather(*clients)))
-        await asyncio.sleep(5.0)
-        for job, statuses in results.items():
-            all_rejected = all(status in (404, 429, 503)
-                               for status in statuses)
-            if all_rejected and job in observer.started:
-                observer.fail(f"REFUSED: tasks of {job} started, and all "
-                              f"attempts to submit it got {statuses}")
+            executor.set_mute(False)
+            observer.note(f"{executor.name}: answers again")
+        for _ in range(60):
+            if await cluster.state(job) == "completed":
+                break
+            await asyncio.sleep(0.5)
+        observer.note(f"client: the job is {await cluster.state(job)}")
     finally:
         await cluster.stop()
 
--- a/review/common-2/executor.py
+++ b/review/common-2/executor.py
@@ -54,6 +54,9 @@
         self.suspended_at = None
         self.resumed = asyncio.Event()
         self.resumed.set()
+        self.answers = asyncio.Event()
+        self.answers.set()
+        self.next_beat = 0.0
         self.server = None
         self.writers = set()
         self.generation = 0
@@ -119,10 +122,23 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
-    def restart(self):
+    def restart(self, keeps_id=False):
+        """Starts again, under another id or under the same one, and sends its
+        first heartbeat at once, or after an interval if it keeps the id."""
+        old_id = self.id
         self.start_life()
+        if keeps_id:
+            self.id = old_id
         self.is_up = True
-        asyncio.create_task(self.beat())
+        self.next_beat = time.monotonic() + (
+            self.heartbeat_s if keeps_id else 0)
+
+    def set_mute(self, is_mute):
+        """A mute executor carries out calls and answers none."""
+        if is_mute:
+            self.answers.clear()
+        else:
+            self.answers.set()
 
     async def beat(self):
         """Sends one heartbeat; returns whether it was acknowledged."""
@@ -143,9 +159,11 @@
     async def send_heartbeats(self):
         while not self.is_closed:
             await self.resumed.wait()
-            if self.is_up and not self.is_leaving:
+            if (self.is_up and not self.is_leaving
+                    and time.monotonic() >= self.next_beat):
+                self.next_beat = time.monotonic() + self.heartbeat_s
                 await self.beat()
-            await asyncio.sleep(self.heartbeat_s)
+            await asyncio.sleep(0.02)
 
     async def drain(self, drain_s):
         """Reports that it drains until that is acknowledged, and serves for
@@ -229,6 +247,9 @@
                     status, body = await self.handle(
                         path, json.loads(message[2] or b"{}"))
                 await self.resumed.wait()
+                if not self.answers.is_set():
+                    await self.answers.wait()
+                    break
                 if not self.is_up or generation != self.generation:
                     break
                 payload = json.dumps(body).encode()
