--- a/review/common-2/cluster.py
+++ b/review/common-2/cluster.py
@@ -350,13 +350,13 @@
 
 def run_case(folder, case, limit_s=110):
     """Runs `case(observer)`, and exits with 1 if it found a broken rule, with 0
-    if not, and with 2 if it couldn't run."""
+    if not, and with 2 if it couldn't run to its end."""
     observer = Observer(os.path.join(folder, "record.txt"))
     # Ended from outside, a case still ends the processes that it started.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         asyncio.run(asyncio.wait_for(case(observer), limit_s))
-    except (CannotRun, asyncio.TimeoutError, KeyboardInterrupt) as error:
+    except (Exception, KeyboardInterrupt) as error:
         observer.note(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(2)
--- a/review/common-2/executor.py
+++ b/review/common-2/executor.py
@@ -48,7 +48,6 @@
         self.hold_max_ms = hold_max_ms
         self.stop_ms = stop_ms
         self.heartbeat_s = heartbeat_s
-        self.platform = None
         self.is_up = False
         self.is_closed = False
         self.suspended_at = None
@@ -117,8 +116,6 @@
         lost, self.runs = self.runs, {}
         for task, run in lost.items():
             self.observer.on_end(self, task, run.number, "crashed", False)
-            if self.platform:
-                self.platform.on_lost(task, run.number)
         for writer in list(self.writers):
             writer.transport.abort()
 
@@ -183,7 +180,8 @@
         for _ in range(attempts):
             self.observer.note(f"{self.name}: sends its deregistration")
             response = await call(self.agent, "POST",
-                                  f"/Instances.Deregister/{self.id}", None)
+                                  f"/Instances.Deregister/{self.id}",
+                                  {"born": self.born})
             if response and 200 <= response[0] < 300:
                 self.observer.note(f"{self.name}: deregistration acknowledged")
                 break
@@ -214,7 +212,7 @@
             for task, run in list(self.runs.items()):
                 if run.stop_at is not None and now >= run.stop_at:
                     self.end_run(task, "stopped")
-                elif (run.duration_s is not None and not self.platform
+                elif (run.duration_s is not None
                       and now - run.started >= run.duration_s):
                     self.end_run(task, "done")
 
@@ -228,8 +226,6 @@
         self.observer.on_end(self, task, run.number, how, at_work)
         self.end_added.set()
         self.end_added = asyncio.Event()
-        if self.platform:
-            self.platform.on_lost(task, run.number)
 
     async def serve(self, reader, writer):
         self.writers.add(writer)
@@ -302,8 +298,6 @@
         if self.guards and not fits:
             self.extend(body["until_ms"])
             return 409, self.about(reason="room")
-        if self.platform and not self.platform.admit(self, task, number, body):
-            return 400, self.about()
         self.extend(body["until_ms"])
         self.runs[task] = Run(number, body, duration, needs)
         self.observer.on_start(self, task, number, body)
