Agent: Wait for every lease that a request may have given

Cause: the agent counted the lease by the deadline that it had sent. The deadline is a time on the clock of the earlier incarnation; the new one takes the longest lease, 6 s instead of 4.5 s.

Change: WorkerLease waits for the longest lease after the end of each request with an extension, unless it is known who received it: the connection had carried a response before (HttpClient tells), nothing was sent, the incarnation responds to a later request with its start time, or it announces itself with a clock value from after the request's end. A worker whose last request got no response gets no lease until it responds to a request without one; its starts are refused at once, and control is told that it accepts no runs. A lease does not expire while a request with an extension is in flight.

The fake worker ends the polls of an incarnation that restarts, as a broken connection does.

--- a/source/agent/run_client.h
+++ b/source/agent/run_client.h
@@ -25,9 +25,17 @@
   kUnknown,     ///< No response: the run may execute, now or later.
 };
 
+/// Which worker process may have received a request.
+enum class Recipient : uint8_t {
+  kNone,   ///< Nothing was sent.
+  kKnown,  ///< The one that responded over the same connection before.
+  kAny,    ///< Whichever had the worker's address when the request arrived.
+};
+
 /// A worker's response to a start request, with its clock if it was included.
 struct StartResponse {
   StartResult result = StartResult::kUnknown;
+  Recipient recipient = Recipient::kAny;
   std::optional<Millis> worker_clock;
   /// Start time of the worker incarnation that responded; zero when not
   /// included.
@@ -90,6 +98,12 @@
   kConnectionLost,  ///< The connection broke, or none can be opened.
 };
 
+/// A poll without a usable response.
+struct PollError {
+  PollFailure failure = PollFailure::kNoResponse;
+  Recipient recipient = Recipient::kAny;
+};
+
 /// What a response to an identity request says about the worker that sent it.
 enum class WorkerIdentity : uint8_t {
   kConfirmed,   ///< It is the incarnation that was asked for.
@@ -117,7 +131,7 @@
   using IdentifyDone = std::function<void(WorkerIdentity)>;
   using StopDone = std::function<void(bool has_response)>;
   using PollDone =
-      std::function<void(const tl::expected<PollResponse, PollFailure>&)>;
+      std::function<void(const tl::expected<PollResponse, PollError>&)>;
 
   virtual ~RunClient() = default;
 
--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -139,10 +139,12 @@
   if (!may_start) {
     // Without a final refusal control repeats the instruction until the agent
     // has polled its worker.
+    const bool will_not_start =
+        m_worker && (m_worker->is_draining || m_lease.IsUnanswered());
     if (m_is_deregistered) {
       EndRun(instruction.task, instruction.run, RunOutcome::kRefused,
              instruction.checkpoint, 0);
-    } else if (m_worker && m_worker->is_draining && m_has_polled) {
+    } else if (will_not_start && m_has_polled) {
       AddRun(instruction);
       RefuseRun(instruction.task, RunOutcome::kRefused);
     }
@@ -188,33 +190,47 @@
   request.checkpoint = local.instruction.checkpoint;
   request.lease_deadline = *lease_deadline;
   request.fencing_token = m_term;
-  m_client.Start(request, [this, task, run = local.run,
+  m_client.Start(request, [this, task, run = local.run, sent_at = m_clock.Now(),
                            incarnation_number = m_incarnation_number](
                               const StartResponse& response) {
     if (incarnation_number == m_incarnation_number)
-      OnStartResponse(task, run, response);
+      OnStartResponse(task, run, sent_at, response);
   });
 }
 
 void WorkflowRunner::OnStartResponse(const TaskName& task,
                                      RunNumber run,
+                                     Millis sent_at,
                                      const StartResponse& response) {
-  const Millis now = m_clock.Now();
   if (IsOfOtherIncarnation(response.start_time_unix_ms)) {
     // The run may execute there. It is stopped when that incarnation announces
     // itself.
     m_counters.Add("agent_starts_of_other_life");
+    m_lease.OnExtensionEnded(Recipient::kAny);
     m_lease.OnOtherIncarnation();
-    OnStartResponse(task, run, StartResponse());
+    FinishStart(task, run, StartResult::kUnknown);
     return;
   }
-  if (response.worker_clock) {
-    m_lease.OnWorkerClock(*response.worker_clock);
-    m_last_contact = now;
-  }
+  const bool has_start_time = response.start_time_unix_ms != 0;
+  const Recipient recipient =
+      has_start_time ? Recipient::kKnown : response.recipient;
+  m_lease.OnExtensionEnded(recipient);
+  if (response.worker_clock)
+    m_last_contact = m_clock.Now();
+  if (response.worker_clock && recipient == Recipient::kKnown)
+    m_lease.OnResponse(*response.worker_clock, sent_at, has_start_time);
+  if (response.result == StartResult::kUnknown || recipient == Recipient::kNone)
+    m_lease.OnNoResponse();
+  FinishStart(task, run, response.result);
+}
+
+void WorkflowRunner::FinishStart(const TaskName& task,
+                                 RunNumber run,
+                                 StartResult result) {
+  const Millis now = m_clock.Now();
   // The request may still execute, also after the run has been stopped or its
   // worker has been given up.
-  if (response.result == StartResult::kUnknown) {
+  if (result == StartResult::kUnknown) {
     m_counters.Add("agent_unanswered_starts");
     m_unconfirmed_starts.Add(task, run);
   }
@@ -222,16 +238,15 @@
   if (it == m_runs.end() || it->second.run != run)
     return;
   LocalRun& local = it->second;
-  if (response.result != StartResult::kStarted) {
-    m_decisions.Write(
-        DecisionLine("start_refused")
-            .With("task", ToString(task))
-            .With("run", int64_t{run})
-            .With("verdict", static_cast<int64_t>(response.result)));
+  if (result != StartResult::kStarted) {
+    m_decisions.Write(DecisionLine("start_refused")
+                          .With("task", ToString(task))
+                          .With("run", int64_t{run})
+                          .With("verdict", static_cast<int64_t>(result)));
   }
   if (local.stage != RunStage::kStarting)
     return;
-  switch (response.result) {
+  switch (result) {
     case StartResult::kStarted:
       local.stage = RunStage::kRunning;
       local.since = now;
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -106,7 +106,9 @@
   void StartRun(const TaskName& task);
   void OnStartResponse(const TaskName& task,
                        RunNumber run,
+                       Millis sent_at,
                        const StartResponse& response);
+  void FinishStart(const TaskName& task, RunNumber run, StartResult result);
   /// Handles a refused start: the run ends, unless the worker may still execute
   /// an earlier start request for it; then the run is stopped.
   void RefuseRun(const TaskName& task, RunOutcome kind);
@@ -122,11 +124,18 @@
   uint64_t AcknowledgedEnds() const;
   Millis MaxPollWait() const;
   void Poll();
-  /// `has_no_earlier_starts`: whether all starts for an earlier worker
-  /// incarnation had been stopped when the poll was sent.
-  void OnPollResponse(Millis sent_at,
-                      bool has_no_earlier_starts,
-                      const tl::expected<PollResponse, PollFailure>& response);
+  /// A poll in flight.
+  struct SentPoll {
+    Millis sent_at;
+    bool has_extension = false;
+    /// Whether all starts for an earlier worker incarnation had been stopped.
+    bool has_no_earlier_starts = false;
+  };
+  void OnPollResponse(const SentPoll& poll,
+                      const tl::expected<PollResponse, PollError>& response);
+  /// Handles a poll that got no response of the current worker incarnation.
+  void OnPollError(const SentPoll& poll, const PollError& error);
+  void OnPollOfOtherIncarnation(const SentPoll& poll);
   void ProcessEndedRuns(const PollResponse& response);
   void ProcessListedRuns(const PollResponse& response, Millis sent_at);
   /// Whether a confirmed stop must have ended the run when the worker received
@@ -180,7 +189,6 @@
   uint64_t m_incarnation_number = 0;
   bool m_is_polling = false;
   bool m_has_polled = false;
-  bool m_has_last_poll_response = true;
   // Highest number of an end that the last poll response listed; zero for none.
   uint64_t m_last_listed_end = 0;
   Millis m_next_poll;
--- a/source/agent/workflow_runner_announcements.cc
+++ b/source/agent/workflow_runner_announcements.cc
@@ -81,6 +81,8 @@
   m_worker = announcement;
   m_worker->is_draining = is_draining;
   m_lost_runs.OnWorkerResponsive();
+  if (announcement.worker_clock)
+    m_lease.OnAnnouncement(*announcement.worker_clock);
 }
 
 void WorkflowRunner::ResumeDeregisteredWorker() {
--- a/source/agent/workflow_runner_polls.cc
+++ b/source/agent/workflow_runner_polls.cc
@@ -64,58 +64,55 @@
 void WorkflowRunner::Poll() {
   const Millis now = m_clock.Now();
   PollRequest request;
-  // A poll without a response may have extended the worker's lease. No further
-  // extension is sent until the worker responds, so that an unresponsive
-  // worker's lease expires and its runs count as ended.
-  if (m_has_last_poll_response)
-    request.lease_deadline = m_lease.TakeExtension();
+  request.lease_deadline = m_lease.TakeExtension();
   request.acknowledged_ends = AcknowledgedEnds();
   request.wait = MaxPollWait();
   request.fencing_token = m_term;
   m_is_polling = true;
-  const bool has_no_earlier_starts = !m_unconfirmed_starts.HasEarlierStarts();
+  SentPoll poll;
+  poll.sent_at = now;
+  poll.has_extension = request.lease_deadline.has_value();
+  poll.has_no_earlier_starts = !m_unconfirmed_starts.HasEarlierStarts();
   m_client.Poll(request,
-                [this, now, has_no_earlier_starts,
-                 incarnation_number = m_incarnation_number](
-                    const tl::expected<PollResponse, PollFailure>& response) {
+                [this, poll, incarnation_number = m_incarnation_number](
+                    const tl::expected<PollResponse, PollError>& response) {
                   if (incarnation_number == m_incarnation_number)
-                    OnPollResponse(now, has_no_earlier_starts, response);
+                    OnPollResponse(poll, response);
                 });
 }
 
 void WorkflowRunner::OnPollResponse(
-    Millis sent_at,
-    bool has_no_earlier_starts,
-    const tl::expected<PollResponse, PollFailure>& response) {
+    const SentPoll& poll,
+    const tl::expected<PollResponse, PollError>& response) {
   const Millis now = m_clock.Now();
   m_is_polling = false;
-  m_has_last_poll_response = response.has_value();
   m_last_listed_end = 0;
   m_next_poll = now + (response ? kMinPollPause : kPollRetryDelay);
   if (!response) {
-    m_counters.Add("agent_unanswered_looks");
-    if (response.error() == PollFailure::kConnectionLost)
-      m_lost_runs.OnConnectionLost(now);
+    OnPollError(poll, response.error());
     return;
   }
-  // Another incarnation with the same worker id responded. It will announce
-  // itself.
   if (IsOfOtherIncarnation(response->start_time_unix_ms)) {
-    m_counters.Add("agent_looks_of_other_life");
-    m_lease.OnOtherIncarnation();
+    OnPollOfOtherIncarnation(poll);
     return;
   }
+  const bool has_start_time = response->start_time_unix_ms != 0;
+  if (poll.has_extension)
+    m_lease.OnExtensionEnded(has_start_time ? Recipient::kKnown
+                                            : Recipient::kAny);
+  const bool was_unanswered = m_lease.IsUnanswered();
+  m_lease.OnResponse(response->worker_clock, poll.sent_at, has_start_time);
+  m_is_report_urgent |= was_unanswered && !m_lease.IsUnanswered();
   m_last_contact = now;
   m_is_lease_expired = false;
   m_lost_runs.OnWorkerResponsive();
-  m_lease.OnWorkerClock(response->worker_clock);
   m_last_listed_end = response->last_listed_end;
   ProcessEndedRuns(*response);
-  ProcessListedRuns(*response, sent_at);
+  ProcessListedRuns(*response, poll.sent_at);
   // A new worker incarnation may have executed starts for the earlier one. It
   // has to be polled after those are stopped, before control learns of it. As
   // long as some ends are not listed, control would start their tasks again.
-  m_has_polled |= has_no_earlier_starts && response->has_all_ends;
+  m_has_polled |= poll.has_no_earlier_starts && response->has_all_ends;
   // A worker responds at once while it lists ended runs, so that the next poll
   // is delayed until control may have stored them.
   if (m_events.last_end() > m_events.stored_end())
@@ -126,6 +123,25 @@
     SendReport();
 }
 
+void WorkflowRunner::OnPollError(const SentPoll& poll, const PollError& error) {
+  m_counters.Add("agent_unanswered_looks");
+  // Control is told at once that the worker accepts no runs.
+  m_is_report_urgent |= !m_lease.IsUnanswered();
+  if (poll.has_extension)
+    m_lease.OnExtensionEnded(error.recipient);
+  m_lease.OnNoResponse();
+  if (error.failure == PollFailure::kConnectionLost)
+    m_lost_runs.OnConnectionLost(m_clock.Now());
+}
+
+void WorkflowRunner::OnPollOfOtherIncarnation(const SentPoll& poll) {
+  // That incarnation will announce itself.
+  m_counters.Add("agent_looks_of_other_life");
+  if (poll.has_extension)
+    m_lease.OnExtensionEnded(Recipient::kAny);
+  m_lease.OnOtherIncarnation();
+}
+
 void WorkflowRunner::ProcessEndedRuns(const PollResponse& response) {
   for (const EndedRun& listed_run : response.ended) {
     if (listed_run.number <= m_events.last_end())
--- a/source/agent/workflow_runner_reports.cc
+++ b/source/agent/workflow_runner_reports.cc
@@ -58,7 +58,8 @@
   report.all_runs_ended = HaveAllRunsEnded() || m_is_expiry_unreported;
   report.is_accepting_runs = !report.all_runs_ended && !m_worker->is_draining &&
                              !m_is_deregistered && !m_is_shutting_down &&
-                             m_has_polled && IsWorkerReachable();
+                             m_has_polled && IsWorkerReachable() &&
+                             !m_lease.IsUnanswered();
   report.is_draining = m_worker->is_draining || m_is_shutting_down;
   report.is_full_report = m_needs_full_report && m_has_polled;
   if (report.is_full_report) {
--- a/source/net/http_client.cc
+++ b/source/net/http_client.cc
@@ -21,6 +21,7 @@
 }  // namespace
 
 struct HttpClient::Transfer {
+  CURL* handle = nullptr;
   HttpClientRequest request;
   Done done;
   HttpClientResponse response;
@@ -49,6 +50,10 @@
     if (transfer->was_sent)
       return CURL_PREREQFUNC_ABORT;
     transfer->was_sent = true;
+    long new_connections = 1;
+    curl_easy_getinfo(transfer->handle, CURLINFO_NUM_CONNECTS,
+                      &new_connections);
+    transfer->response.used_open_connection = new_connections == 0;
     return CURL_PREREQFUNC_OK;
   }
 
@@ -91,6 +96,7 @@
 void HttpClient::Send(HttpClientRequest request, Done done) {
   CURL* handle = curl_easy_init();
   auto transfer = std::make_unique<Transfer>();
+  transfer->handle = handle;
   transfer->request = std::move(request);
   transfer->done = std::move(done);
   const HttpClientRequest& stored_request = transfer->request;
--- a/source/net/http_client.h
+++ b/source/net/http_client.h
@@ -36,6 +36,9 @@
   Kind kind = Kind::kLost;
   /// Whether it failed because the time was up.
   bool is_timeout = false;
+  /// Whether the request was sent over a connection that had carried a complete
+  /// response before.
+  bool used_open_connection = false;
   int status = 0;
   std::string body;
   /// Describes the failure, unless `kind` is kAnswered.
--- a/tests/support/fake_run_worker.cc
+++ b/tests/support/fake_run_worker.cc
@@ -26,7 +26,7 @@
   m_ended.clear();
   m_foreign_ends.clear();
   m_ended_executions.clear();
-  m_polls.clear();
+  BreakConnections();
   m_end_count = 0;
   acknowledged_ends = 0;
   speed_limits.clear();
@@ -72,6 +72,15 @@
   m_responses.push_back({m_clock.Now() + delay, std::move(response)});
 }
 
+void FakeRunWorker::BreakConnections() {
+  for (const PendingPoll& poll : m_polls)
+    Respond(kResponseDelay, [done = poll.done] {
+      done(tl::make_unexpected(
+          PollError{PollFailure::kConnectionLost, Recipient::kKnown}));
+    });
+  m_polls.clear();
+}
+
 void FakeRunWorker::Identify(const WorkerIncarnation& expected,
                              const std::string& address,
                              uint64_t,
@@ -92,7 +101,10 @@
   ++m_start_calls;
   const uint64_t number = m_incarnation_number;
   if (mode == Mode::kDown) {
-    Respond(kResponseDelay, [done] { done({StartResult::kDeclined, {}}); });
+    StartResponse response;
+    response.result = StartResult::kDeclined;
+    response.recipient = Recipient::kNone;
+    Respond(kResponseDelay, [done, response] { done(response); });
     return;
   }
   if (mode == Mode::kDelayedStart) {
@@ -106,7 +118,9 @@
   if (mode == Mode::kNoResponses)
     Begin(request, m_capacity);
   if (mode == Mode::kDelayedStart || mode == Mode::kNoResponses) {
-    Respond(kTimeout, [done] { done(StartResponse()); });
+    StartResponse response;
+    response.recipient = recipient;
+    Respond(kTimeout, [done, response] { done(response); });
     return;
   }
   const StartResponse response = Begin(request, m_capacity);
@@ -185,8 +199,10 @@
 
 void FakeRunWorker::Poll(const PollRequest& request, PollDone done) {
   if (mode == Mode::kDown || mode == Mode::kNoResponses) {
+    PollError error;
+    error.recipient = mode == Mode::kDown ? Recipient::kNone : recipient;
     Respond(request.wait + kTimeout,
-            [done] { done(tl::make_unexpected(PollFailure::kNoResponse)); });
+            [done, error] { done(tl::make_unexpected(error)); });
     return;
   }
   if (request.lease_deadline) {
@@ -267,12 +283,7 @@
   m_restart_at = m_clock.Now() + restart_delay;
   mode = Mode::kDown;
   EndAll(RunOutcome::kLeaseExpired, false);
-  // The connections break.
-  for (const PendingPoll& poll : m_polls)
-    Respond(kResponseDelay, [done = poll.done] {
-      done(tl::make_unexpected(PollFailure::kConnectionLost));
-    });
-  m_polls.clear();
+  BreakConnections();
 }
 
 PollResponse FakeRunWorker::MakeResponse() const {
--- a/tests/support/fake_run_worker.h
+++ b/tests/support/fake_run_worker.h
@@ -51,7 +51,7 @@
 
   FakeRunWorker(const Clock& clock, std::string name);
 
-  /// Starts a new incarnation, in which nothing runs.
+  /// Starts a new incarnation, in which nothing runs. The connections break.
   void Restart();
 
   /// Records the capacity that the worker announces. Start requests that are
@@ -105,6 +105,8 @@
   /// Whether delayed starts execute in the next incarnation too. It has the
   /// same id, so that it takes them for its own.
   bool delays_outlive_restart = false;
+  /// Recipient of requests without a response.
+  Recipient recipient = Recipient::kAny;
   WorkerIncarnation worker_incarnation;
   /// Executions in all incarnations.
   std::vector<Execution> executions;
@@ -165,6 +167,7 @@
   void EndAll(RunOutcome kind, bool is_listed);
   void Acknowledge(uint64_t number);
   void Respond(Millis delay, std::function<void()> response);
+  void BreakConnections();
   PollResponse MakeResponse() const;
 
   const Clock& m_clock;
--- a/tests/support/workflow_cluster.h
+++ b/tests/support/workflow_cluster.h
@@ -37,6 +37,8 @@
     uint64_t sequence = 0;
     bool is_draining = false;
     bool is_suspended = false;
+    /// Whether the worker announces itself although it responds to nothing.
+    bool announces_while_silent = false;
     /// When the leader last received a report.
     Millis reported_at;
     Resources capacity{4'000, 4'096, 0};
@@ -72,7 +74,6 @@
   /// Sets one queue, "queue.example" "/q/", for the service "svc".
   void SetQueueConfiguration(uint64_t version, uint32_t max_attempts = 3);
 
-
   /// Sends a call through the entry process and waits for the result.
   CallResult Call(WorkflowCall call);
   CallResult Submit(const WorkflowSpec& spec);
--- a/tests/workflow/worker_lease_test.cc
+++ b/tests/workflow/worker_lease_test.cc
@@ -32,6 +32,23 @@
     m_suspended += duration;
   }
 
+  /// The worker responds with its clock.
+  void Respond() { m_lease.OnResponse(WorkerClock(), Now(), true); }
+
+  /// A request with an extension ends.
+  void EndRequest(Recipient recipient) {
+    m_lease.OnExtensionEnded(recipient);
+    m_lease.OnNoResponse();
+  }
+
+  /// Returns the time from now until the lease has expired.
+  Millis TimeToExpiry() {
+    const Millis start = Now();
+    while (!m_lease.HasExpired())
+      Run(Millis(10));
+    return Now() - start;
+  }
+
   WorkerLease& lease() { return m_lease; }
 
  private:
@@ -41,12 +58,26 @@
   Millis m_suspended{0};
 };
 
+/// A lease that was extended by a request whose end is `recipient`'s.
+class UnansweredExtension : public LeaseOnInstance {
+ public:
+  explicit UnansweredExtension(Recipient recipient) {
+    lease().ResetWorker(false);
+    lease().OnGranted(kStart, Millis(60'000));
+    Run(Millis(20'000));
+    Respond();
+    lease().TakeExtension();
+    Run(Millis(800));
+    EndRequest(recipient);
+  }
+};
+
 }  // namespace
 
 TEST_CASE("The lease on a slow worker clock expires before the granted lease") {
   LeaseOnInstance test;
   test.lease().OnGranted(kStart, Millis(4'000));
-  test.lease().OnWorkerClock(test.WorkerClock());
+  test.Respond();
   test.Run(Millis(10));
   const auto until = test.lease().TakeExtension();
   REQUIRE(until.has_value());
@@ -59,7 +90,7 @@
   CHECK_FALSE(test.lease().TakeExtension().has_value());
   test.lease().OnGranted(kStart, Millis(4'000));
   CHECK_FALSE(test.lease().TakeExtension().has_value());
-  test.lease().OnWorkerClock(Millis(0));
+  test.Respond();
   CHECK(test.lease().TakeExtension().has_value());
   test.Run(Millis(4'000));
   CHECK_FALSE(test.lease().TakeExtension().has_value());
@@ -71,8 +102,9 @@
   LeaseOnInstance test;
   test.lease().ResetWorker(false);
   test.lease().OnGranted(kStart, Millis(60'000));
-  test.lease().OnWorkerClock(test.WorkerClock());
+  test.Respond();
   const Millis until = *test.lease().TakeExtension();
+  test.EndRequest(Recipient::kKnown);
   while (!test.lease().HasExpired())
     test.Run(Millis(10));
   CHECK(test.WorkerClock() >= until);
@@ -85,8 +117,9 @@
   LeaseOnInstance test;
   test.lease().ResetWorker(false);
   test.lease().OnGranted(kStart, Millis(60'000));
-  test.lease().OnWorkerClock(test.WorkerClock());
+  test.Respond();
   const Millis until = *test.lease().TakeExtension();
+  test.EndRequest(Recipient::kKnown);
   for (int i = 0; i < 5; ++i) {
     test.Run(Millis(600));
     test.Suspend(Millis(3'000));
@@ -102,7 +135,7 @@
 TEST_CASE("An extension after a suspension ends within the grant") {
   LeaseOnInstance test;
   test.lease().OnGranted(kStart, Millis(8'000));
-  test.lease().OnWorkerClock(test.WorkerClock());
+  test.Respond();
   test.Suspend(Millis(5'000));
   test.Run(Millis(10));
   const auto until = test.lease().TakeExtension();
@@ -119,8 +152,9 @@
   test.lease().OnGranted(kStart, Millis(60'000));
   test.Run(Millis(20'000));
   test.lease().ResetWorker(true);
-  test.lease().OnWorkerClock(Millis(100));
+  test.lease().OnResponse(Millis(100), test.Now(), true);
   test.lease().TakeExtension();
+  test.EndRequest(Recipient::kKnown);
   test.Run(kStep);
   CHECK_FALSE(test.lease().HasExpired());
   test.Run(Millis(400));
@@ -134,8 +168,9 @@
   LeaseOnInstance test;
   test.lease().OnGranted(kStart, Millis(60'000));
   test.Run(Millis(20'000));
-  test.lease().OnWorkerClock(test.WorkerClock());
+  test.Respond();
   test.lease().TakeExtension();
+  test.EndRequest(Recipient::kAny);
   test.lease().OnOtherIncarnation();
   test.Run(kStep);
   CHECK_FALSE(test.lease().HasExpired());
@@ -143,6 +178,61 @@
   CHECK(test.lease().HasExpired());
 }
 
+// Guards against a run that continues in a worker which restarted under its id
+// and took the longest lease from a request without a response.
+TEST_CASE("An extension that any process may have got is the longest one") {
+  UnansweredExtension test(Recipient::kAny);
+  CHECK(test.TimeToExpiry() >= kStep * 100 / 98);
+}
+
+// Guards against a lease that counts as expired while a request that extends it
+// is in flight.
+TEST_CASE("A lease does not expire before the last extension has ended") {
+  LeaseOnInstance test;
+  test.lease().ResetWorker(false);
+  test.lease().OnGranted(kStart, Millis(500));
+  test.Respond();
+  test.lease().TakeExtension();
+  test.Run(Millis(10'000));
+  CHECK_FALSE(test.lease().HasExpired());
+  test.EndRequest(Recipient::kKnown);
+  CHECK(test.lease().HasExpired());
+}
+
+// Guards against tasks of a silent worker that wait for the longest lease
+// although no other process can have got the request.
+TEST_CASE("The lease of a worker that is known to be the recipient is short") {
+  for (const Recipient recipient : {Recipient::kKnown, Recipient::kNone}) {
+    UnansweredExtension test(recipient);
+    CHECK(test.TimeToExpiry() < kStep * 8 / 10);
+  }
+}
+
+// Guards against the same when only heartbeats show that the worker has not
+// restarted, and against a delayed heartbeat that is taken for such proof.
+TEST_CASE("A heartbeat sent after a request proves who received it") {
+  UnansweredExtension late(Recipient::kAny);
+  late.lease().OnAnnouncement(late.WorkerClock() - Millis(500));
+  CHECK(late.TimeToExpiry() >= kStep * 100 / 98);
+  UnansweredExtension test(Recipient::kAny);
+  test.Run(Millis(1'100));
+  test.lease().OnAnnouncement(test.WorkerClock());
+  CHECK(test.TimeToExpiry() < kStep * 8 / 10);
+}
+
+// Guards against a wait that never ends: each extension that is sent to a
+// silent worker may give another incarnation the longest lease.
+TEST_CASE("No extension is sent until a later request has a response") {
+  UnansweredExtension test(Recipient::kAny);
+  CHECK_FALSE(test.lease().TakeExtension().has_value());
+  // The response to a request that was sent before.
+  test.lease().OnResponse(test.WorkerClock(), test.Now() - Millis(100), true);
+  CHECK_FALSE(test.lease().TakeExtension().has_value());
+  test.Run(Millis(100));
+  test.Respond();
+  CHECK(test.lease().TakeExtension().has_value());
+}
+
 TEST_CASE(
     "A new agent process assumes that its predecessor just extended the "
     "lease") {
