Entry: Pass no refusal on while a call may be stored

Cause: the entry sends an unanswered call again. Control looked for the queue before it looked for the job, and the entry held back two of four kinds of refusal only.

Change: MeaningOf has a case for each kind of reply, and a refusal of any kind gives an unknown result while another sending of a submission or cancellation may be stored. A call says whether that is so (a trailing field, false from older versions); control then replies with the stored result of the submission or cancellation first. A refused read is passed on, since nothing is stored. A new request of a client for a removed queue still gets 404 (docs/platform.md, Open).

--- a/source/control/workflow_callers.cc
+++ b/source/control/workflow_callers.cc
@@ -68,6 +68,11 @@
     Reply(from, std::move(reply));
     return;
   }
+  if (const auto stored_result = FindStoredResult(call)) {
+    reply.kind = *stored_result;
+    Reply(from, std::move(reply));
+    return;
+  }
   const QueueSettings* queue = m_state.FindQueue(call.host, call.path);
   if (!queue) {
     reply.kind = WorkflowReplyKind::kQueueNotFound;
@@ -99,6 +104,22 @@
   }
 }
 
+std::optional<WorkflowReplyKind> WorkflowCallers::FindStoredResult(
+    const WorkflowCall& call) const {
+  const WorkflowRecord* workflow =
+      call.may_be_stored ? m_state.Find(call.key) : nullptr;
+  if (!workflow)
+    return std::nullopt;
+  if (call.kind == WorkflowCallKind::kSubmit)
+    return WorkflowReplyKind::kAccepted;
+  const bool is_stored_cancellation =
+      call.kind == WorkflowCallKind::kCancel &&
+      workflow->phase == WorkflowPhase::kCancelled;
+  if (is_stored_cancellation)
+    return WorkflowReplyKind::kCancelled;
+  return std::nullopt;
+}
+
 void WorkflowCallers::Submit(const NodeId& from,
                              const WorkflowCall& call,
                              WorkflowBatch& next) {
--- a/source/control/workflow_callers.h
+++ b/source/control/workflow_callers.h
@@ -2,6 +2,7 @@
 #define SOURCE_CONTROL_WORKFLOW_CALLERS_H_
 
 #include <functional>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -75,6 +76,10 @@
 
   void Reply(const NodeId& entry, WorkflowReply reply);
   void Show(const NodeId& from, const WorkflowCall& call);
+  /// Returns the result of an earlier sending of the call if that is stored.
+  /// Its queue may have been removed since.
+  std::optional<WorkflowReplyKind> FindStoredResult(
+      const WorkflowCall& call) const;
   void Submit(const NodeId& from,
               const WorkflowCall& call,
               WorkflowBatch& next);
--- a/source/entry/workflow_gateway.cc
+++ b/source/entry/workflow_gateway.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "source/base/json_text.h"
+#include "source/message/reply_meaning.h"
 
 namespace fulmarrock {
 namespace {
@@ -69,6 +70,7 @@
     return;
   pending.last_member = member;
   pending.is_sent = true;
+  pending.call.may_be_stored = MayBeStored(pending);
   pending.unanswered.insert(++pending.call.attempt);
   m_transport.Send(member, pending.call);
 }
@@ -92,9 +94,13 @@
   }
 }
 
-bool WorkflowGateway::IsFinalReply(WorkflowReplyKind kind) {
-  return kind != WorkflowReplyKind::kNotLeader &&
-         kind != WorkflowReplyKind::kUnknownResult;
+CallOutcome WorkflowGateway::OutcomeOf(const PendingCall& pending,
+                                       WorkflowReplyKind reply) {
+  // A refusal speaks for one sending of the call. Another one may be stored.
+  const bool is_refusal = MeaningOf(reply) == ReplyMeaning::kNotStored;
+  if (is_refusal && IsStored(pending.call.kind) && MayBeStored(pending))
+    return CallOutcome::kUnknownResult;
+  return CallOutcome::kAnswered;
 }
 
 void WorkflowGateway::OnReply(const NodeId& from, const WorkflowReply& reply) {
@@ -109,19 +115,16 @@
                                ? reply.attempt
                                : *pending.unanswered.begin();
   pending.unanswered.erase(attempt);
-  if (!IsFinalReply(reply.kind)) {
+  const ReplyMeaning meaning = MeaningOf(reply.kind);
+  if (meaning == ReplyMeaning::kNotHandled ||
+      meaning == ReplyMeaning::kUnknown) {
     OnNotLeader(from, reply, pending);
     return;
   }
   m_leader_finder.OnLeaderReply(from, reply.term);
   m_unanswered_since = Millis(0);
-  // A refusal is final only if no earlier sending of the call may be stored.
-  const bool is_refusal = reply.kind == WorkflowReplyKind::kRefused ||
-                          reply.kind == WorkflowReplyKind::kNotConfigured;
-  CallResult result{CallOutcome::kAnswered, reply, reply.retry_after};
-  if (is_refusal && MayBeStored(pending))
-    result.outcome = CallOutcome::kUnknownResult;
-  Finish(reply.call, std::move(result));
+  Finish(reply.call,
+         {OutcomeOf(pending, reply.kind), reply, reply.retry_after});
 }
 
 void WorkflowGateway::OnNotLeader(const NodeId& from,
--- a/source/entry/workflow_gateway.h
+++ b/source/entry/workflow_gateway.h
@@ -98,12 +98,15 @@
   static bool MayBeStored(const PendingCall& pending) {
     return !pending.unanswered.empty() || pending.is_result_unknown;
   }
+  /// Returns what a reply of the leader to one sending of the call says about
+  /// the whole call.
+  static CallOutcome OutcomeOf(const PendingCall& pending,
+                               WorkflowReplyKind reply);
   void OnReply(const NodeId& from, const WorkflowReply& reply);
   void OnNotLeader(const NodeId& from,
                    const WorkflowReply& reply,
                    PendingCall& pending);
   void Finish(uint64_t call, CallResult result);
-  static bool IsFinalReply(WorkflowReplyKind kind);
 
   const WorkflowGatewayOptions m_options;
   const Clock& m_clock;
--- a/source/message/workflow_messages.h
+++ b/source/message/workflow_messages.h
@@ -36,11 +36,13 @@
   WorkflowSpec spec;
   /// Number of the sending of this call, from one; zero from older versions.
   uint32_t attempt = 0;
+  /// Whether an earlier sending of this call may be stored.
+  bool may_be_stored = false;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.call, self.kind, self.host, self.path, self.key, self.spec,
-            self.attempt);
+            self.attempt, self.may_be_stored);
   }
 };
 
--- a/tests/support/workflow_cluster.cc
+++ b/tests/support/workflow_cluster.cc
@@ -237,6 +237,18 @@
   queue.timeout = Millis(3'000);
   queue_configuration.queues.push_back(queue);
   queue_configuration.services.push_back({"svc", true});
+  SetConfiguration(queue_configuration);
+}
+
+void WorkflowCluster::RemoveQueue(uint64_t version) {
+  QueueConfiguration queue_configuration;
+  queue_configuration.version = version;
+  queue_configuration.services.push_back({"svc", true});
+  SetConfiguration(queue_configuration);
+}
+
+void WorkflowCluster::SetConfiguration(
+    const QueueConfiguration& queue_configuration) {
   std::optional<bool> is_done;
   leader().SetQueueConfiguration(
       queue_configuration,
@@ -245,12 +257,17 @@
     Step();
 }
 
-CallResult WorkflowCluster::Call(WorkflowCall call) {
+void WorkflowCluster::BeginCall(WorkflowCall call,
+                                std::optional<CallResult>& result) {
   call.host = "queue.example";
   call.path = "/q/";
-  std::optional<CallResult> answer;
   gateway->Call(std::move(call), Millis(3'000),
-                [&](const CallResult& result) { answer = result; });
+                [&result](const CallResult& answer) { result = answer; });
+}
+
+CallResult WorkflowCluster::Call(WorkflowCall call) {
+  std::optional<CallResult> answer;
+  BeginCall(std::move(call), answer);
   for (int i = 0; i < 400 && !answer; ++i)
     Step();
   return answer.value_or(CallResult());
--- a/tests/support/workflow_cluster.h
+++ b/tests/support/workflow_cluster.h
@@ -74,6 +74,11 @@
   /// Sets one queue, "queue.example" "/q/", for the service "svc".
   void SetQueueConfiguration(uint64_t version, uint32_t max_attempts = 3);
 
+  /// Replaces the configuration by one without queues.
+  void RemoveQueue(uint64_t version);
+
+  /// Sends a call through the entry process; `result` is set once it has one.
+  void BeginCall(WorkflowCall call, std::optional<CallResult>& result);
   /// Sends a call through the entry process and waits for the result.
   CallResult Call(WorkflowCall call);
   CallResult Submit(const WorkflowSpec& spec);
@@ -106,6 +111,7 @@
  private:
   class FixedWallClock;
   void Step();
+  void SetConfiguration(const QueueConfiguration& queue_configuration);
   void Announce(AgentNode& agent);
   void ConnectAgent(AgentNode& agent);
   void NoteReport(const NodeId& member, const NodeId& from);
