Agent: Take no deregistration for the end of a worker's runs

Cause: a deregistration announces an end and proves none.

Change: after a deregistration the agent gives no lease, stops the runs and goes on polling. The runs have ended when the worker lists their ends, when it refuses a connection that was tried after the deregistration, or when its lease has expired. A start instruction that is repeated for a run which may go on is no longer reported as refused.

"A deregistration of the current incarnation releases its runs" ends the fake worker's process, which refuses connections, in place of a machine that is down; it still asks for the tasks within a second.

--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -140,11 +140,9 @@
     // Without a final refusal control repeats the instruction until the agent
     // has polled its worker.
     const bool will_not_start =
-        m_worker && (m_worker->is_draining || m_lease.IsUnanswered());
-    if (m_is_deregistered) {
-      EndRun(instruction.task, instruction.run, RunOutcome::kRefused,
-             instruction.checkpoint, 0);
-    } else if (will_not_start && m_has_polled) {
+        m_worker &&
+        (m_is_deregistered || m_worker->is_draining || m_lease.IsUnanswered());
+    if (will_not_start && m_has_polled) {
       AddRun(instruction);
       RefuseRun(instruction.task, RunOutcome::kRefused);
     }
@@ -285,7 +283,7 @@
 }
 
 void WorkflowRunner::OnStopInstruction(const RunId& instruction) {
-  if (m_is_deregistered) {
+  if (m_has_ended) {
     LogStopInstruction(instruction, "worker_left");
     return;
   }
@@ -382,7 +380,7 @@
 }
 
 bool WorkflowRunner::HaveAllRunsEnded() const {
-  return m_is_deregistered || (!IsWorkerReachable() && m_lease.HasExpired());
+  return m_has_ended || (!IsWorkerReachable() && m_lease.HasExpired());
 }
 
 void WorkflowRunner::CheckLeaseExpiry() {
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -89,6 +89,8 @@
   void UpdateWorker(const WorkerAnnouncement& announcement);
   /// The current worker incarnation announces itself after its deregistration.
   void ResumeDeregisteredWorker();
+  /// Stops the runs of a worker that is about to end.
+  void StopAllRuns();
   bool IsFromCurrentWorker(const WorkerDeregistration& deregistration) const;
   /// The worker announces a capacity that differs from the last one. Control
   /// has to learn of it before it places the next run there.
@@ -128,6 +130,8 @@
   struct SentPoll {
     Millis sent_at;
     bool has_extension = false;
+    /// Whether the worker had deregistered.
+    bool is_after_deregistration = false;
     /// Whether all starts for an earlier worker incarnation had been stopped.
     bool has_no_earlier_starts = false;
   };
@@ -165,6 +169,8 @@
   std::optional<WorkerAnnouncement> m_worker;
   WorkerCandidates m_candidates;
   bool m_is_deregistered = false;
+  // Whether the worker has ended since its deregistration.
+  bool m_has_ended = false;
   bool m_is_lease_expired = false;
   // Start instructions that reply to a report from before this time are
   // discarded: control did not know yet that the worker's lease had expired.
--- a/source/agent/workflow_runner_announcements.cc
+++ b/source/agent/workflow_runner_announcements.cc
@@ -90,8 +90,9 @@
   m_decisions.Write(DecisionLine("worker_resumed")
                         .With("life", m_worker->worker_incarnation.id));
   m_is_deregistered = false;
-  // Control released the worker's runs. The worker is polled before it gets
-  // others, so that those which are still active are found and stopped.
+  m_has_ended = false;
+  // Control may have released the worker's runs. The worker is polled before it
+  // gets others, so that those which are still active are found and stopped.
   m_has_polled = false;
   m_needs_full_report = true;
   m_is_report_urgent = true;
@@ -125,6 +126,7 @@
     m_lost_runs.OnCrash(m_runs, now);
   m_worker = announcement;
   m_is_deregistered = false;
+  m_has_ended = false;
   m_is_lease_expired = false;
   m_is_expiry_unreported = false;
   ++m_incarnation_number;
@@ -171,11 +173,26 @@
     m_counters.Add("agent_ignored_deregistrations");
     return false;
   }
+  // Repetitions say nothing new.
+  if (m_is_deregistered)
+    return true;
   m_is_deregistered = true;
-  m_runs.clear();
   m_unconfirmed_starts.OnDeregistration();
+  StopAllRuns();
   m_is_report_urgent = true;
   return true;
 }
 
+void WorkflowRunner::StopAllRuns() {
+  std::vector<TaskName> tasks;
+  for (const auto& [task, local] : m_runs) {
+    const bool is_stopping =
+        local.stage == RunStage::kStopping || local.stage == RunStage::kStopped;
+    if (!is_stopping)
+      tasks.push_back(task);
+  }
+  for (const TaskName& task : tasks)
+    StopRun(task);
+}
+
 }  // namespace fulmarrock
--- a/source/agent/workflow_runner_polls.cc
+++ b/source/agent/workflow_runner_polls.cc
@@ -23,7 +23,7 @@
 }  // namespace
 
 bool WorkflowRunner::NeedsPoll() const {
-  if (m_is_deregistered)
+  if (m_has_ended)
     return false;
   // A start that an earlier agent process or worker incarnation got may still
   // execute. Only a list shows it.
@@ -64,7 +64,9 @@
 void WorkflowRunner::Poll() {
   const Millis now = m_clock.Now();
   PollRequest request;
-  request.lease_deadline = m_lease.TakeExtension();
+  // The lease of a worker that may have ended has to expire.
+  if (!m_is_deregistered)
+    request.lease_deadline = m_lease.TakeExtension();
   request.acknowledged_ends = AcknowledgedEnds();
   request.wait = MaxPollWait();
   request.fencing_token = m_term;
@@ -72,6 +74,7 @@
   SentPoll poll;
   poll.sent_at = now;
   poll.has_extension = request.lease_deadline.has_value();
+  poll.is_after_deregistration = m_is_deregistered;
   poll.has_no_earlier_starts = !m_unconfirmed_starts.HasEarlierStarts();
   m_client.Poll(request,
                 [this, poll, incarnation_number = m_incarnation_number](
@@ -132,6 +135,10 @@
   m_lease.OnNoResponse();
   if (error.failure == PollFailure::kConnectionLost)
     m_lost_runs.OnConnectionLost(m_clock.Now());
+  // A worker that has deregistered accepts connections until it ends.
+  const bool is_refused = error.failure == PollFailure::kConnectionLost &&
+                          error.recipient == Recipient::kNone;
+  m_has_ended |= is_refused && poll.is_after_deregistration;
 }
 
 void WorkflowRunner::OnPollOfOtherIncarnation(const SentPoll& poll) {
--- a/tests/support/cluster_faults.cc
+++ b/tests/support/cluster_faults.cc
@@ -84,6 +84,13 @@
     case 11:
       Suspend(cluster, index % cluster.agents.size());
       break;
+    case 12:
+      if (agent.runner) {
+        const WorkerIncarnation& current = agent.worker.worker_incarnation;
+        agent.runner->OnDeregistration(
+            {current.id, current.start_time_unix_ms});
+      }
+      break;
     default:
       break;
   }
--- a/tests/support/fake_run_worker.cc
+++ b/tests/support/fake_run_worker.cc
@@ -85,8 +85,8 @@
                              const std::string& address,
                              uint64_t,
                              IdentifyDone done) {
-  const bool is_responding =
-      address == kAddress && mode != Mode::kDown && mode != Mode::kNoResponses;
+  const bool is_responding = address == kAddress && mode != Mode::kDown &&
+                             mode != Mode::kEnded && mode != Mode::kNoResponses;
   if (!is_responding) {
     Respond(kTimeout, [done] { done(WorkerIdentity::kNoResponse); });
     return;
@@ -100,7 +100,7 @@
 void FakeRunWorker::Start(const StartRequest& request, StartDone done) {
   ++m_start_calls;
   const uint64_t number = m_incarnation_number;
-  if (mode == Mode::kDown) {
+  if (mode == Mode::kDown || mode == Mode::kEnded) {
     StartResponse response;
     response.result = StartResult::kDeclined;
     response.recipient = Recipient::kNone;
@@ -183,6 +183,10 @@
     Respond(kTimeout, [done] { done(false); });
     return;
   }
+  if (mode == Mode::kEnded) {
+    Respond(kResponseDelay, [done] { done(false); });
+    return;
+  }
   if (lost_stops > 0) {
     --lost_stops;
     Respond(kResponseDelay, [done] { done(true); });
@@ -205,6 +209,13 @@
             [done, error] { done(tl::make_unexpected(error)); });
     return;
   }
+  if (mode == Mode::kEnded) {
+    Respond(kResponseDelay, [done] {
+      done(tl::make_unexpected(
+          PollError{PollFailure::kConnectionLost, Recipient::kNone}));
+    });
+    return;
+  }
   if (request.lease_deadline) {
     m_lease_deadline = std::max(
         m_lease_deadline,
@@ -277,6 +288,12 @@
     poll.done(MakeResponse());
 }
 
+void FakeRunWorker::EndProcess() {
+  mode = Mode::kEnded;
+  EndAll(RunOutcome::kLeaseExpired, false);
+  BreakConnections();
+}
+
 void FakeRunWorker::Crash() {
   ++crash_count;
   m_crash_at.reset();
--- a/tests/support/fake_run_worker.h
+++ b/tests/support/fake_run_worker.h
@@ -45,6 +45,7 @@
     kNoResponses,   ///< Executes start requests and responds to nothing.
     kDelayedStart,  ///< Starts runs `start_delay` late, without a response.
     kDown,          ///< Receives nothing and runs nothing.
+    kEnded,         ///< Its process has ended: connections are refused.
     kFailing,       ///< Fails every run after 20 ms.
     kHanging,       ///< Starts runs that make no progress.
   };
@@ -67,6 +68,9 @@
   void EndForeignRun() { m_foreign_ends.push_back(++m_end_count); }
   bool HasForeignEnds() const { return !m_foreign_ends.empty(); }
 
+  /// The worker's process ends, as after a deregistration.
+  void EndProcess();
+
   /// Ends everything that runs, and the worker until it is back.
   void Crash();
 
--- a/tests/support/workflow_cluster.cc
+++ b/tests/support/workflow_cluster.cc
@@ -141,6 +141,7 @@
 void WorkflowCluster::Announce(AgentNode& agent) {
   if (!agent.runner || agent.is_suspended ||
       agent.worker.mode == FakeRunWorker::Mode::kDown ||
+      agent.worker.mode == FakeRunWorker::Mode::kEnded ||
       (agent.worker.mode == FakeRunWorker::Mode::kNoResponses &&
        !agent.announces_while_silent)) {
     return;
--- a/tests/workflow/deregistration_test.cc
+++ b/tests/workflow/deregistration_test.cc
@@ -74,7 +74,7 @@
 TEST_CASE("A deregistration of the current incarnation releases its runs") {
   RestartedWorker test;
   const WorkerIncarnation current = test.worker().worker_incarnation;
-  test.worker().mode = FakeRunWorker::Mode::kDown;
+  test.worker().EndProcess();
   CHECK(
       test.runner().OnDeregistration({current.id, current.start_time_unix_ms}));
   test.cluster.Run(Millis(1'000));
@@ -82,6 +82,36 @@
   CHECK(test.cluster.FindViolation().empty());
 }
 
+// Guards against tasks that run twice at a time: a worker whose deregistration
+// got no response runs on for some seconds. Its runs were taken for ended.
+TEST_CASE("The runs of a worker that has deregistered are stopped first") {
+  RestartedWorker test;
+  const WorkerIncarnation current = test.worker().worker_incarnation;
+  test.cluster.agents[0]->is_draining = true;
+  test.cluster.Run(Millis(1'000));
+  test.runner().OnDeregistration({current.id, current.start_time_unix_ms});
+  test.cluster.Run(Millis(1'000));
+  CHECK(test.worker().running_count() == 0);
+  CHECK(test.cluster.Executions().size() == 6 + test.active);
+  test.worker().EndProcess();
+  test.cluster.Run(Millis(1'000));
+  CHECK(test.cluster.FindViolation().empty());
+}
+
+// Guards against the same when the worker responds to nothing.
+TEST_CASE("The runs of a silent worker that has deregistered may continue") {
+  RestartedWorker test;
+  for (auto& agent : test.cluster.agents)
+    agent->worker.duration = Millis(20'000);
+  test.cluster.Run(Millis(500));
+  const WorkerIncarnation current = test.worker().worker_incarnation;
+  test.worker().mode = FakeRunWorker::Mode::kNoResponses;
+  test.runner().OnDeregistration({current.id, current.start_time_unix_ms});
+  test.cluster.Run(Millis(10'000));
+  CHECK(test.cluster.Executions().size() == 6 + test.active);
+  CHECK(test.cluster.FindViolation().empty());
+}
+
 // Guards against a worker that gets no work any more because its heartbeats
 // were ignored after a deregistration that it did not act on.
 TEST_CASE("A worker that announces itself after deregistering gets work") {
