Net: Answer a request that was passed on with 504 when stopping

Cause: HttpServer::Stop() answered every open request with 503, also those that the gateway had sent to control. Requests that arrived while it did so were handled and suspended, and libmicrohttpd aborts a process that stops its daemon with suspended connections.

Change: a request whose handler was called gets 504, one whose was not gets 503, and no handler is called once the stop has begun.

Tests, both failed on: "a request whose handler was called is not refused by a stop" (503), "a server stops while requests keep arriving" (SIGABRT).

--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -100,7 +100,10 @@
     }
     if (call.is_answered)
       return call.Queue();
-    if (!call.is_dispatched) {
+    if (!call.is_dispatched && server.m_is_stopping) {
+      call.is_answered = true;
+      call.response = MakeStoppedResponse(call);
+    } else if (!call.is_dispatched) {
       call.is_dispatched = true;
       server.Dispatch(*Find(server, &call));
     }
@@ -179,6 +182,21 @@
     call.request.body.append(data);
   }
 
+  /// Returns the response to a request that the process does not finish. The
+  /// handler of a request that was dispatched may have had an effect.
+  static HttpResponse MakeStoppedResponse(const Call& call) {
+    if (call.is_dispatched) {
+      return MakeErrorResponse(
+          504, {ErrorKind::kUnavailable,
+                "the process stopped before the result was known",
+                "send the same request to another process"});
+    }
+    return MakeErrorResponse(
+        503, {ErrorKind::kUnavailable,
+              "the process stopped before it handled the request",
+              "send the request to another process"});
+  }
+
   static void RefuseBody(HttpServer& server, Call& call) {
     server.m_counters.Add("http_oversized_bodies");
     call.is_answered = true;
@@ -286,16 +304,13 @@
 void HttpServer::Stop() {
   if (!m_daemon)
     return;
+  m_is_stopping = true;
   StopAccepting();
   // Suspended connections have to be resumed before the daemon stops.
   const std::vector<std::shared_ptr<Call>> calls(m_calls.begin(),
                                                  m_calls.end());
   for (const std::shared_ptr<Call>& call : calls) {
-    Responder(m_loop, call)
-        .Respond(MakeErrorResponse(
-            503, {ErrorKind::kUnavailable,
-                  "the process stopped before the response was ready",
-                  "send the request to another process"}));
+    Responder(m_loop, call).Respond(Callbacks::MakeStoppedResponse(*call));
   }
   MHD_run(m_daemon);
   m_loop.CancelTimer(m_timer);
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -75,7 +75,8 @@
   /// Accepts no more connections; open ones keep working.
   void StopAccepting();
 
-  /// Closes all connections. Requests without a response get 503.
+  /// Closes all connections. Requests without a response get 504 if their
+  /// handler was called, since it may have had an effect, and 503 if not.
   void Stop();
 
   /// Address in use, as "ip:port".
@@ -110,6 +111,7 @@
   Counters m_counters;
   bool m_is_run_scheduled = false;
   bool m_closes_after_responses = false;
+  bool m_is_stopping = false;
   EventLoop::TimerId m_timer = 0;
   std::shared_ptr<int> m_lifetime_token = std::make_shared<int>(0);
 };
--- a/tests/net/http_server_test.cc
+++ b/tests/net/http_server_test.cc
@@ -82,4 +82,84 @@
   CHECK(server.Get("/works") == 200);
 }
 
+// Guards against a client that is told that its request was refused although
+// the handler has passed it on: the server stopped before the response.
+TEST_CASE("a request whose handler was called is not refused by a stop") {
+  LoopThread thread;
+  std::optional<HttpServer> server;
+  Mailbox<HttpServer::Responder> handled;
+  thread.RunAndWait([&] {
+    HttpServerOptions options;
+    options.address = "127.0.0.1:0";
+    server.emplace(thread.loop(), options);
+    server->Route(
+        "POST", "/",
+        [&](const HttpRequest&, const HttpServer::Responder& responder) {
+          handled.Put(responder);
+        });
+    REQUIRE(server->Start());
+  });
+  HttpClientRequest request;
+  request.method = "POST";
+  request.url = "http://" + server->address() + "/";
+  LoopThread client_thread;
+  Mailbox<HttpClientResponse> received;
+  std::optional<HttpClient> client;
+  client_thread.RunAndWait([&] {
+    client.emplace(client_thread.loop(), 4);
+    client->Send(request, [&](HttpClientResponse response) {
+      received.Put(std::move(response));
+    });
+  });
+  REQUIRE(handled.Take());
+  thread.RunAndWait([&] { server.reset(); });
+  const std::optional<HttpClientResponse> response = received.Take();
+  client_thread.RunAndWait([&] { client.reset(); });
+  REQUIRE(response);
+  const bool is_refused =
+      response->kind == HttpClientResponse::Kind::kAnswered &&
+      response->status != 504;
+  CHECK_FALSE(is_refused);
+}
+
+// Guards against a process that is aborted because requests arrive on open
+// connections while its server stops.
+TEST_CASE("a server stops while requests keep arriving") {
+  for (int round = 0; round < 20; ++round) {
+    LoopThread thread;
+    std::optional<HttpServer> server;
+    Mailbox<bool> handled;
+    thread.RunAndWait([&] {
+      HttpServerOptions options;
+      options.address = "127.0.0.1:0";
+      server.emplace(thread.loop(), options);
+      // The handler never responds.
+      server->Route("GET", "/",
+                    [&](const HttpRequest&, const HttpServer::Responder&) {
+                      handled.Put(true);
+                    });
+      REQUIRE(server->Start());
+    });
+    HttpClientRequest request;
+    request.url = "http://" + server->address() + "/";
+    LoopThread client_thread;
+    Mailbox<HttpClientResponse> received;
+    std::optional<HttpClient> client;
+    constexpr int kRequests = 60;
+    client_thread.RunAndWait([&] {
+      client.emplace(client_thread.loop(), 16);
+      for (int i = 0; i < kRequests; ++i) {
+        client->Send(request, [&](HttpClientResponse response) {
+          received.Put(std::move(response));
+        });
+      }
+    });
+    REQUIRE(handled.Take());
+    thread.RunAndWait([&] { server.reset(); });
+    for (int i = 0; i < kRequests; ++i)
+      REQUIRE(received.Take());
+    client_thread.RunAndWait([&] { client.reset(); });
+  }
+}
+
 }  // namespace fulmarrock::test
