Net: Judge when a worker has stopped its tasks on an ActiveClock

HttpWorkerClient, the client for workers of the own interface, counted the time after which a worker has stopped its tasks by itself on CLOCK_BOOTTIME, and passed a lease on with the offset between the clocks as it was before a suspension.

Change: both are judged on an ActiveClock, which a timer updates.

--- a/source/net/http_worker_client.cc
+++ b/source/net/http_worker_client.cc
@@ -18,6 +18,8 @@
 using nlohmann::json;
 
 constexpr size_t kMaxBatch = 256;
+/// Well below ActiveClock::kMaxGap.
+constexpr Millis kClockUpdateInterval{50};
 constexpr int64_t kMaxInteger = int64_t{1} << 62;
 
 std::optional<TaskEventKind> EventKindFromName(std::string_view name) {
@@ -48,12 +50,16 @@
     : m_loop(loop),
       m_options(std::move(options)),
       m_random(random),
-      m_client(loop, 2) {
+      m_client(loop, 2),
+      m_active_clock(loop.clock()),
+      m_tasks_stopped_at(m_active_clock.Now()) {
   BeginSession();
+  UpdateActiveClock();
 }
 
 HttpWorkerClient::~HttpWorkerClient() {
   m_loop.CancelTimer(m_timer);
+  m_loop.CancelTimer(m_clock_timer);
 }
 
 void HttpWorkerClient::Listen(WorkerListener& listener) {
@@ -140,6 +146,12 @@
     m_listener->OnTaskEvent(task, TaskEventKind::kFailed, reason, Millis());
 }
 
+void HttpWorkerClient::UpdateActiveClock() {
+  m_active_clock.Update();
+  m_clock_timer =
+      m_loop.AddTimer(kClockUpdateInterval, [this] { UpdateActiveClock(); });
+}
+
 void HttpWorkerClient::SchedulePoll() {
   m_timer = m_loop.AddTimer(m_options.poll_interval, [this] { Poll(); });
 }
@@ -188,9 +200,9 @@
     OnUnreachable();
     return;
   }
-  // The worker read its clock before the response arrived, so this is a lower
-  // bound, and leases end no later at the worker than here.
-  m_clock_offset = worker_now - m_loop.clock().Now();
+  m_active_clock.Update();
+  m_worker_clock = worker_now;
+  m_worker_clock_read_at = m_active_clock.Now();
   m_is_reachable = true;
   if (instance != m_instance) {
     const bool is_first = m_instance.empty();
@@ -215,9 +227,8 @@
 void HttpWorkerClient::OnUnreachable() {
   m_is_reachable = false;
   m_counters.Add("worker_failed_polls");
-  const Millis stopped_at =
-      m_latest_sent_lease_end + m_options.stop_after + m_options.clock_margin;
-  if (m_tasks.empty() || m_loop.clock().Now() <= stopped_at)
+  m_active_clock.Update();
+  if (m_tasks.empty() || m_active_clock.Now() <= m_tasks_stopped_at)
     return;
   FailTasks("the worker is unresponsive and has stopped its tasks by itself");
 }
@@ -286,10 +297,20 @@
                {"session", m_session},
                {"first", m_first_sequence}};
   if (m_lease_end > Millis()) {
+    m_active_clock.Update();
+    const Millis active_now = m_active_clock.Now();
+    const Millis remaining = m_lease_end - m_loop.clock().Now();
+    // The worker read its clock before the response arrived, and it has
+    // advanced by the active time since, so this is a lower bound: leases end
+    // no later at the worker than here.
+    const Millis worker_now =
+        m_worker_clock + (active_now - m_worker_clock_read_at);
     head["leases_until_ms"] =
-        std::max<int64_t>((m_lease_end + m_clock_offset).count(), 0);
+        std::max<int64_t>((worker_now + remaining).count(), 0);
     head["stop_after_ms"] = m_options.stop_after.count();
-    m_latest_sent_lease_end = std::max(m_latest_sent_lease_end, m_lease_end);
+    m_tasks_stopped_at = std::max(
+        m_tasks_stopped_at,
+        active_now + remaining + m_options.stop_after + m_options.clock_margin);
     m_has_new_lease_end = false;
   }
   std::string body = ToJsonText(head);
--- a/source/net/http_worker_client.h
+++ b/source/net/http_worker_client.h
@@ -10,6 +10,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include "source/agent/worker_client.h"
+#include "source/base/active_clock.h"
 #include "source/base/counters.h"
 #include "source/base/random_source.h"
 #include "source/net/event_loop.h"
@@ -63,6 +64,7 @@
   void AddForTask(const char* name, TaskId task);
   void BeginSession();
   void FailTasks(const std::string& reason);
+  void UpdateActiveClock();
   void SchedulePoll();
   void Poll();
   void OnPollResponse(const HttpClientResponse& response);
@@ -86,16 +88,20 @@
   std::deque<std::string> m_commands;
   uint64_t m_first_sequence = 1;
   bool m_is_sending = false;
-  // The newest lease end and the latest one that may have reached the worker,
-  // both on this process's clock.
+  // On this process's clock.
   Millis m_lease_end;
-  Millis m_latest_sent_lease_end;
   bool m_has_new_lease_end = false;
+  // The worker's clock may stand still while the instance is suspended.
+  ActiveClock m_active_clock;
+  EventLoop::TimerId m_clock_timer = 0;
+  // Active time by which the worker has stopped its tasks by itself.
+  Millis m_tasks_stopped_at;
 
   std::string m_instance;
   uint64_t m_last_event = 0;
-  // Lower bound of the worker's clock minus this process's clock.
-  Millis m_clock_offset;
+  // Clock in the worker's last response, and the active time of its arrival.
+  Millis m_worker_clock;
+  Millis m_worker_clock_read_at;
   bool m_is_reachable = false;
   // Tasks that were started and have not ended, with their epochs.
   std::map<TaskId, Epoch> m_tasks;
--- a/tests/net/http_worker_client_test.cc
+++ b/tests/net/http_worker_client_test.cc
@@ -1,5 +1,8 @@
 #include "source/net/http_worker_client.h"
 
+#include <chrono>
+#include <thread>
+
 #include <catch2/catch.hpp>
 
 #include "source/base/seeded_random.h"
@@ -43,9 +46,11 @@
 /// A worker client on a loop of its own.
 class Agent : private WorkerListener {
  public:
-  Agent(const std::string& address, uint64_t seed) : m_random(seed) {
+  Agent(const std::string& address, uint64_t seed)
+      : Agent(address, seed, HttpWorkerOptions()) {}
+  Agent(const std::string& address, uint64_t seed, HttpWorkerOptions options)
+      : m_random(seed) {
     m_thread.RunAndWait([&] {
-      HttpWorkerOptions options;
       options.address = address;
       options.poll_interval = Millis(5);
       m_client.emplace(m_thread.loop(), options, m_random);
@@ -70,11 +75,15 @@
       client.Start(grant);
     });
   }
-  void ExtendLeases() {
-    Call([](HttpWorkerClient& client) {
-      client.ExtendLeases(Millis::FromSeconds(60));
+  void ExtendLeases(Millis remaining = Millis::FromSeconds(60)) {
+    Call([remaining](HttpWorkerClient& client) {
+      client.ExtendLeases(remaining);
     });
   }
+  /// The agent's process does nothing for a time.
+  void Freeze(std::chrono::milliseconds duration) {
+    m_thread.RunAndWait([&] { std::this_thread::sleep_for(duration); });
+  }
   SeenEvent Take() {
     return events.Take().value_or(
         SeenEvent{{}, TaskEventKind::kRejected, "no event arrived"});
@@ -172,6 +181,36 @@
   CHECK(agent.Take().kind == TaskEventKind::kCompleted);
 }
 
+// Guards against tasks that count as stopped while they run on a worker whose
+// clock stood still with its suspended instance.
+TEST_CASE("the tasks of a worker run on after a suspension") {
+  constexpr Millis kLease{1'500};
+  constexpr Millis kStopAfter{1'500};
+  constexpr std::chrono::milliseconds kSuspension{4'000};
+  std::optional<Worker> worker(std::in_place, 1);
+  HttpWorkerOptions options;
+  options.stop_after = kStopAfter;
+  options.clock_margin = Millis(100);
+  Agent agent(worker->address(), 2, options);
+  agent.Start({1, 0}, kForever);
+  CHECK(agent.Take().kind == TaskEventKind::kStarted);
+  agent.ExtendLeases(kLease);
+  agent.Start({2, 0}, R"({"duration_ms": 0})");
+  // Its end shows that the lease arrived.
+  CHECK(agent.Take().task == TaskId{2, 0});
+  CHECK(agent.Take().task == TaskId{2, 0});
+  // The worker responds to nothing after the suspension.
+  worker.reset();
+  agent.Freeze(kSuspension);
+  const auto resumed = std::chrono::steady_clock::now();
+  const SeenEvent failed = agent.Take();
+  const auto waited = std::chrono::steady_clock::now() - resumed;
+  CHECK(failed.task == TaskId{1, 0});
+  CHECK(failed.kind == TaskEventKind::kFailed);
+  // At most the time until the freeze has passed of the lease.
+  CHECK(waited >= std::chrono::milliseconds(kStopAfter.count()));
+}
+
 // Guards against losing the completion of a task that ended while no agent was
 // connected: the task would then run a second time.
 TEST_CASE("a new agent learns of tasks that ended while none was connected") {
