Control: Ignore a report that is older than the last one

Callers would see tasks run twice at a time: an agent reports that all runs have ended, its worker responds again and gets work, and the report, held up in a connection that was replaced, arrives after later ones.

Cause: control compared the send times of reports only between processes of an agent.

Change: a report that was sent before the last one of the same process is ignored and counted (control_outdated_reports).

--- a/source/control/worker_link.cc
+++ b/source/control/worker_link.cc
@@ -27,6 +27,12 @@
                    report.agent_incarnation) != m_replaced_processes.end();
 }
 
+bool WorkerLink::IsOutdated(const WorkerReport& report) const {
+  return m_has_report &&
+         report.agent_incarnation == m_report.agent_incarnation &&
+         report.sent_at < m_report.sent_at;
+}
+
 void WorkerLink::OnReport(const WorkerReport& report,
                           WorkerNumber worker,
                           Millis now) {
--- a/source/control/worker_link.h
+++ b/source/control/worker_link.h
@@ -24,6 +24,10 @@
   /// Whether an agent process that a later one has replaced sent the report.
   bool IsFromReplacedProcess(const WorkerReport& report) const;
 
+  /// Whether a later report of the same process has arrived before this one. It
+  /// may have been held up in a connection that was replaced.
+  bool IsOutdated(const WorkerReport& report) const;
+
   /// Handles a report of the agent's current process. `worker` is the worker
   /// incarnation that it describes, or kNoWorkerNumber while that one is not
   /// registered.
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -96,6 +96,10 @@
     m_counters.Add("control_reports_of_replaced_agents");
     return;
   }
+  if (link.IsOutdated(report)) {
+    m_counters.Add("control_outdated_reports");
+    return;
+  }
   if (!is_registered) {
     OnUnregisteredReport(link, entry, report, next, now);
     return;
--- a/tests/workflow/replaced_agent_test.cc
+++ b/tests/workflow/replaced_agent_test.cc
@@ -2,7 +2,8 @@
 
 #include "tests/support/workflow_cluster.h"
 
-// Reports of an agent process that arrive after those of its successor.
+// Reports of an agent process that arrive after those of its successor, or
+// after later ones of its own.
 
 namespace fulmarrock::test {
 namespace {
@@ -53,6 +54,36 @@
   CHECK(cluster.FindViolation().empty());
 }
 
+// Guards against the same when the agent's worker has responded again since:
+// the report was held up in a connection that was replaced.
+TEST_CASE("A late report of the current agent process releases no runs") {
+  WorkflowCluster cluster(1, 2, 1);
+  cluster.SetQueueConfiguration(1);
+  for (auto& agent : cluster.agents)
+    agent->worker.duration = Millis(6'000);
+  WorkerReport late;
+  cluster.network.SetTap(
+      [&](const NodeId& from, const NodeId&, const Message& message) {
+        const auto* report = std::get_if<WorkerReport>(&message);
+        if (report && from == "agent0")
+          late = *report;
+      });
+  cluster.Run(Millis(1'000));
+  cluster.network.SetTap(nullptr);
+  late.all_runs_ended = true;
+  late.is_accepting_runs = false;
+  cluster.Submit(MakeChain(7, {6}));
+  cluster.Run(Millis(1'000));
+  REQUIRE(cluster.agents[0]->worker.running_count() > 0);
+  cluster.SetCapacity(1, {16'000, 16'384, 0});
+  cluster.Run(Millis(200));
+  cluster.network.TransportOf("agent0").Send("control0", late);
+  cluster.Run(Millis(15'000));
+  CHECK(cluster.PhaseOf(7) == WorkflowPhase::kCompleted);
+  CHECK(cluster.Executions().size() == 6);
+  CHECK(cluster.FindViolation().empty());
+}
+
 // Guards against a current agent process whose reports are ignored because one
 // of its predecessor arrived between them.
 TEST_CASE("An agent process counts as current again after a late report") {
