Workflow: Avoid a worker only while another one could run the task

Cause: a task avoids a worker on which it failed as long as another worker of its service is a candidate.

Change: only a worker that could run the task counts as an alternative (CouldRun: service, label, size), and IsStarving applies to gangs too.

--- a/source/workflow/run_placement.cc
+++ b/source/workflow/run_placement.cc
@@ -55,16 +55,24 @@
          SpeedLimitOf(candidate, request.step->image) / 100;
 }
 
+/// Whether a worker belongs to the service of the task and has its label.
+bool IsEligible(const RunRequest& request, const WorkerAttributes& worker) {
+  const std::string& label = request.step->required_label;
+  return worker.service == request.service &&
+         (label.empty() || HasLabel(worker, label));
+}
+
 }  // namespace
 
+bool CouldRun(const RunRequest& request, const WorkerCandidate& candidate) {
+  return IsEligible(request, *candidate.attributes) &&
+         candidate.allocation->FitsAlone(*request.step);
+}
+
 bool MayRun(const RunRequest& request, const WorkerCandidate& candidate) {
-  const StepSpec& step = *request.step;
-  if (candidate.attributes->service != request.service)
-    return false;
-  if (!step.required_label.empty() &&
-      !HasLabel(*candidate.attributes, step.required_label)) {
+  if (!IsEligible(request, *candidate.attributes))
     return false;
-  }
+  const StepSpec& step = *request.step;
   if (step.max_per_worker > 0 &&
       candidate.allocation->CountOfStep(request.task) >= step.max_per_worker) {
     return false;
--- a/source/workflow/run_placement.h
+++ b/source/workflow/run_placement.h
@@ -50,7 +50,11 @@
       std::span<const WorkerCandidate> candidates) const = 0;
 };
 
-/// Whether a worker may run the task at all: service, labels, limits, free
+/// Whether a worker could run the task if nothing else ran there: service,
+/// labels, size.
+bool CouldRun(const RunRequest& request, const WorkerCandidate& candidate);
+
+/// Whether a worker may run the task now: it could run it at all, limits, free
 /// capacity.
 bool MayRun(const RunRequest& request, const WorkerCandidate& candidate);
 
--- a/source/workflow/worker_allocation.cc
+++ b/source/workflow/worker_allocation.cc
@@ -18,13 +18,22 @@
     counts.erase(key);
 }
 
+/// What a task of the step takes of a worker's capacity.
+Resources AllocatedTo(const StepSpec& step) {
+  Resources resources = step.resources();
+  if (step.is_best_effort)
+    resources.cpu_millicores = 0;
+  return resources;
+}
+
 }  // namespace
 
 bool WorkerAllocation::Fits(const StepSpec& step) const {
-  Resources request = step.resources();
-  if (step.is_best_effort)
-    request.cpu_millicores = 0;
-  return (m_used + request).FitsIn(m_capacity);
+  return (m_used + AllocatedTo(step)).FitsIn(m_capacity);
+}
+
+bool WorkerAllocation::FitsAlone(const StepSpec& step) const {
+  return AllocatedTo(step).FitsIn(m_capacity);
 }
 
 int64_t WorkerAllocation::ExpectedIdleCpu() const {
--- a/source/workflow/worker_allocation.h
+++ b/source/workflow/worker_allocation.h
@@ -30,6 +30,10 @@
   /// not count.
   bool Fits(const StepSpec& step) const;
 
+  /// Whether a task fits into the capacity of the worker when nothing else
+  /// runs.
+  bool FitsAlone(const StepSpec& step) const;
+
   /// CPU in millicores that is not allocated to any run except best-effort
   /// ones.
   int64_t free_cpu() const {
--- a/source/workflow/workflow_scheduler.cc
+++ b/source/workflow/workflow_scheduler.cc
@@ -186,11 +186,6 @@
   request.step = &ready.spec();
   request.service = ready.queue->service;
   bool has_placed_task = false;
-  const auto [load, is_unknown] =
-      m_lightly_loaded.try_emplace(std::string(request.service), false);
-  if (is_unknown)
-    load->second = IsLightlyLoaded(request.service);
-  const bool is_lightly_loaded = load->second;
   for (uint32_t i = 0; i < tasks.size() && plan.size() < limit; ++i) {
     if (tasks[i].stage != TaskStage::kPending)
       continue;
@@ -198,9 +193,7 @@
     request.is_last_attempt =
         tasks[i].failed_runs > 0 &&
         tasks[i].failed_runs + 1 >= ready.queue->max_attempts;
-    request.is_starving = is_lightly_loaded && ready.workflow->active == 0 &&
-                          !has_placed_task &&
-                          time.replicated - tasks[i].since > kStarvingAfter;
+    request.is_starving = !has_placed_task && IsStarving(ready, tasks[i], time);
     request.may_crash_worker = tasks[i].startup_crashes > 0;
     const std::optional<size_t> position =
         ChooseFor(request, candidates, time.now);
@@ -235,6 +228,7 @@
   request.service = ready.queue->service;
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     request.task = {ready.workflow->spec.key, ready.occurrence, ready.step, i};
+    request.is_starving = IsStarving(ready, tasks[i], time);
     request.may_crash_worker = tasks[i].startup_crashes > 0;
     const std::optional<size_t> position =
         ChooseFor(request, candidates, time.now);
@@ -252,6 +246,17 @@
   return true;
 }
 
+bool WorkflowScheduler::IsStarving(const ReadyStep& ready,
+                                   const WorkflowTask& task,
+                                   const PlanningTime& time) {
+  const std::string& service = ready.queue->service;
+  const auto [load, is_unknown] = m_lightly_loaded.try_emplace(service, false);
+  if (is_unknown)
+    load->second = IsLightlyLoaded(service);
+  return load->second && ready.workflow->active == 0 &&
+         time.replicated - task.since > kStarvingAfter;
+}
+
 std::optional<size_t> WorkflowScheduler::ChooseFor(
     const RunRequest& request,
     std::span<const WorkerCandidate> candidates,
@@ -269,10 +274,9 @@
   const std::optional<size_t> position = m_placement.Choose(request, others);
   if (position)
     return positions[*position];
-  const bool has_other_worker =
-      std::any_of(others.begin(), others.end(), [&](const auto& candidate) {
-        return candidate.attributes->service == request.service;
-      });
+  const bool has_other_worker = std::any_of(
+      others.begin(), others.end(),
+      [&](const auto& candidate) { return CouldRun(request, candidate); });
   // A long-running task may fail on any worker, and serves nobody until it runs
   // again.
   if (has_other_worker && !request.is_starving &&
--- a/source/workflow/workflow_scheduler.h
+++ b/source/workflow/workflow_scheduler.h
@@ -107,6 +107,13 @@
                  const PlanningTime& time,
                  std::vector<WorkerCandidate>& candidates,
                  std::vector<AssignRun>& plan);
+  /// Whether a task has been pending for so long, while its workflow has no
+  /// active run, that any worker with free capacity is acceptable.
+  bool IsStarving(const ReadyStep& ready,
+                  const WorkflowTask& task,
+                  const PlanningTime& time);
+  /// Chooses a worker. One on which the task failed is chosen only if no other
+  /// could run it, or if the task is starving or long-running.
   std::optional<size_t> ChooseFor(const RunRequest& request,
                                   std::span<const WorkerCandidate> candidates,
                                   Millis now);
