Agent: Do not drain the worker of an agent that is stopped

Cause: a report said that the worker drains while only the agent's process was about to end. The stops stayed queued at control and reached the agent's next process.

Change: a report says that of the worker only. Runs continue while the agent restarts, within the lease that their worker holds.

--- a/source/agent/workflow_runner_reports.cc
+++ b/source/agent/workflow_runner_reports.cc
@@ -60,7 +60,8 @@
                              !m_is_deregistered && !m_is_shutting_down &&
                              m_has_polled && IsWorkerReachable() &&
                              !m_lease.IsUnanswered();
-  report.is_draining = m_worker->is_draining || m_is_shutting_down;
+  // The runs continue while this process restarts, within the worker's lease.
+  report.is_draining = m_worker->is_draining;
   report.is_full_report = m_needs_full_report && m_has_polled;
   if (report.is_full_report) {
     for (const auto& [task, local] : m_runs) {
--- a/source/message/workflow_messages.h
+++ b/source/message/workflow_messages.h
@@ -214,8 +214,8 @@
   /// Runs that the worker lists and whose start instruction the agent lacks, so
   /// that it does not know their resources.
   std::vector<RunId> runs_without_instruction;
-  /// Whether the worker or the agent is about to end. A worker may also accept
-  /// no runs because its agent has not polled it yet, or not recently.
+  /// Whether the worker is about to end. A worker may also accept no runs
+  /// because its agent is about to end, has not polled it yet, or not recently.
   bool is_draining = false;
 
   template <typename Self, typename Visitor>
--- a/tests/workflow/long_running_tasks_test.cc
+++ b/tests/workflow/long_running_tasks_test.cc
@@ -45,6 +45,23 @@
   CHECK(test.cluster.Executions().size() == kTasks);
 }
 
+// Guards against the same when the agent is stopped as planned: its last report
+// was taken for that of a draining worker.
+TEST_CASE("Long-running tasks continue while their agent is stopped") {
+  LongRunningTasks test;
+  for (size_t i = 0; i < test.cluster.agents.size(); ++i) {
+    WorkflowRunner& runner = *test.cluster.agents[i]->runner;
+    runner.BeginShutdown();
+    test.cluster.Run(Millis(600));
+    CHECK(runner.IsDrained());
+    test.cluster.CrashAgent(i);
+    test.cluster.Run(Millis(300));
+    test.cluster.StartAgent(i);
+    test.cluster.Run(Millis(5'000));
+  }
+  CHECK(test.cluster.Executions().size() == kTasks);
+}
+
 // Guards against the same after a worker was silent for longer than the agent
 // takes it for reachable, and for less than its lease.
 TEST_CASE("Long-running tasks continue while their worker is silent") {
