Agent: Report the ends of runs before the process is stopped

Cause: an agent that is stopped waited for its starts and stops only. Control then had to wait for the end of its own lease, 15.75 s.

Test: "An agent that is stopped reports the end of its worker first" failed before (the agent counted as drained while cut off).

--- a/source/agent/workflow_runner_reports.cc
+++ b/source/agent/workflow_runner_reports.cc
@@ -97,6 +97,12 @@
 bool WorkflowRunner::IsDrained() const {
   if (!m_is_shutting_down)
     return false;
+  // What control does not know yet it would wait for as long as its lease lasts.
+  const bool has_unreported_end =
+      !m_events.events().empty() || m_is_expiry_unreported ||
+      (m_is_deregistered && !m_runs.empty());
+  if (has_unreported_end)
+    return false;
   return std::none_of(m_runs.begin(), m_runs.end(), [](const auto& item) {
     return item.second.stage == RunStage::kStarting ||
            item.second.stage == RunStage::kStopping;
--- a/tests/workflow/deregistration_test.cc
+++ b/tests/workflow/deregistration_test.cc
@@ -112,6 +112,28 @@
   CHECK(test.cluster.FindViolation().empty());
 }
 
+// Guards against tasks that wait for control's whole lease: their agent was
+// stopped with its worker while it was cut off, and ended before it had
+// reported that their runs had ended.
+TEST_CASE("An agent that is stopped reports the end of its worker first") {
+  RestartedWorker test;
+  const WorkerIncarnation current = test.worker().worker_incarnation;
+  test.cluster.network.Isolate("agent0");
+  test.worker().EndProcess();
+  test.runner().OnDeregistration({current.id, current.start_time_unix_ms});
+  test.cluster.Run(Millis(300));
+  test.runner().BeginShutdown();
+  test.cluster.Run(Millis(700));
+  CHECK_FALSE(test.runner().IsDrained());
+  test.cluster.network.HealAll();
+  test.cluster.Run(Millis(1'000));
+  CHECK(test.runner().IsDrained());
+  test.cluster.CrashAgent(0);
+  test.cluster.Run(Millis(1'000));
+  CHECK(test.cluster.Executions().size() == 6 + test.active);
+  CHECK(test.cluster.FindViolation().empty());
+}
+
 // Guards against a worker that gets no work any more because its heartbeats
 // were ignored after a deregistration that it did not act on.
 TEST_CASE("A worker that announces itself after deregistering gets work") {
