--- a/source/agent/workflow_runner_reports.cc
+++ b/source/agent/workflow_runner_reports.cc
@@ -97,10 +97,11 @@
 bool WorkflowRunner::IsDrained() const {
   if (!m_is_shutting_down)
     return false;
-  // What control does not know yet it would wait for as long as its lease lasts.
-  const bool has_unreported_end =
-      !m_events.events().empty() || m_is_expiry_unreported ||
-      (m_is_deregistered && !m_runs.empty());
+  // What control does not know yet it would wait for as long as its lease
+  // lasts.
+  const bool has_unreported_end = !m_events.events().empty() ||
+                                  m_is_expiry_unreported ||
+                                  (m_is_deregistered && !m_runs.empty());
   if (has_unreported_end)
     return false;
   return std::none_of(m_runs.begin(), m_runs.end(), [](const auto& item) {
@@ -122,6 +123,8 @@
       {"worker", m_worker ? m_worker->worker_incarnation.id : std::string()},
       {"is_leaving", m_worker && m_worker->is_draining},
       {"is_granted", m_lease.IsGranted()},
+      {"is_unanswered", m_lease.IsUnanswered()},
+      {"has_deregistered", m_is_deregistered},
       {"leader", m_leader_tracker.leader()},
       {"unstored_events", m_events.events().size()},
       {"runs", std::move(runs)}};
