Control: Evacuate data centres

Operators could not take a data centre out of service: both requests of the users' platform got 404, and runs kept starting there.

The replicated state has a table of evacuated data centres. Its commands are committed before they are acknowledged, and are applied before the assignments of an entry. The planner, the state and the agent each keep runs from starting in an evacuated data centre. A request that may be a late repetition of one that was superseded is deferred, since requests have no id.

--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -83,6 +83,7 @@
       !(instructions.worker_incarnation == m_worker->worker_incarnation))
     return;
   m_needs_full_report |= instructions.needs_full_report;
+  UpdateEvacuation(instructions);
   for (const RunId& instruction : instructions.stops)
     OnStopInstruction(instruction);
   if (instructions.lease == Millis(0))
@@ -106,10 +107,37 @@
     if (!OnRepeatedStartInstruction(instruction))
       new_starts.push_back(&instruction);
   }
+  if (!new_starts.empty() && IsOutdated(instructions)) {
+    // Control repeats them in reply to the next report.
+    m_counters.Add("agent_outdated_starts",
+                   static_cast<int64_t>(new_starts.size()));
+    return;
+  }
   for (const StartInstruction* instruction : new_starts)
     OnNewStartInstruction(*instruction);
 }
 
+void WorkflowRunner::UpdateEvacuation(const WorkerInstructions& instructions) {
+  // Messages may overtake each other.
+  if (instructions.evacuation_version < m_evacuation_version)
+    return;
+  m_evacuation_version = instructions.evacuation_version;
+  if (m_is_evacuated == instructions.is_evacuated)
+    return;
+  m_is_evacuated = instructions.is_evacuated;
+  m_decisions.Write(
+      DecisionLine("evacuation_changed")
+          .With("is_evacuated", int64_t{m_is_evacuated})
+          .With("version", static_cast<int64_t>(m_evacuation_version))
+          .With("runs", static_cast<int64_t>(m_runs.size())));
+}
+
+bool WorkflowRunner::IsOutdated(const WorkerInstructions& instructions) const {
+  const Millis limit = m_options.evacuation_limit;
+  return limit != Millis(0) &&
+         (m_clock.Now() - instructions.report_sent_at) * 2 >= limit;
+}
+
 bool WorkflowRunner::OnRepeatedStartInstruction(
     const StartInstruction& instruction) {
   const auto it = m_runs.find(instruction.task);
@@ -132,9 +160,15 @@
   // The run has ended, but control has not stored that yet.
   if (m_events.Holds(instruction.task, instruction.run))
     return;
-  const bool may_start = m_worker && !m_worker->is_draining &&
-                         !m_is_deregistered && !m_is_shutting_down &&
-                         m_has_polled &&
+  if (m_is_evacuated && m_has_polled) {
+    m_counters.Add("agent_starts_while_evacuated");
+    AddRun(instruction);
+    RefuseRun(instruction.task, RunOutcome::kRefused);
+    return;
+  }
+  const bool may_start = m_worker && !m_is_evacuated &&
+                         !m_worker->is_draining && !m_is_deregistered &&
+                         !m_is_shutting_down && m_has_polled &&
                          !m_candidates.HasAddress(m_worker->address);
   if (!may_start) {
     // Without a final refusal control repeats the instruction until the agent
--- a/source/agent/workflow_runner.h
+++ b/source/agent/workflow_runner.h
@@ -35,6 +35,9 @@
   Millis max_lease_extension{6'000};
   /// Longest time from a stop request until the run has ended.
   Millis stop_timeout{400};
+  /// Time within which the evacuation of a data centre has to take effect; zero
+  /// if start instructions may be of any age.
+  Millis evacuation_limit;
 };
 
 /// The agent's side of workflows: starts and stops runs on the worker beside it
@@ -103,6 +106,10 @@
   /// Handles a start instruction for a task that the agent has no run of.
   void OnNewStartInstruction(const StartInstruction& instruction);
   void AddRun(const StartInstruction& instruction);
+  /// Whether a start instruction may be from before an evacuation of the
+  /// worker's data centre that the agent has not heard of.
+  bool IsOutdated(const WorkerInstructions& instructions) const;
+  void UpdateEvacuation(const WorkerInstructions& instructions);
   void OnStopInstruction(const RunId& instruction);
   void LogStopInstruction(const RunId& instruction, std::string_view outcome);
   void StartRun(const TaskName& task);
@@ -204,6 +211,9 @@
   SpeedLimiter m_speed_limiter;
 
   Term m_term = 0;
+  // Newest known state of the worker's data centre.
+  uint64_t m_evacuation_version = 0;
+  bool m_is_evacuated = false;
   bool m_needs_full_report = true;
   bool m_is_report_urgent = false;
   Millis m_last_report;
--- a/source/config/settings.cc
+++ b/source/config/settings.cc
@@ -117,6 +117,12 @@
                             workflow.max_lease_extension.count()));
   workflow.stop_timeout = Millis(reader.Integer("stop_limit_ms", 0, kMaxLeaseMs,
                                                 workflow.stop_timeout.count()));
+  workflow.evacuation_limit =
+      Millis(reader.Integer("evacuation_limit_ms", 0, kMaxLeaseMs,
+                            workflow.evacuation_limit.count()));
+  workflow.operator_resend = Millis(reader.Integer(
+      "operator_resend_ms", 0, kMaxLeaseMs, workflow.operator_resend.count()));
+  workflow.data_centres = reader.Strings("data_centres");
   reader.Finish();
   return workflow;
 }
--- a/source/config/settings.h
+++ b/source/config/settings.h
@@ -67,6 +67,13 @@
   Millis max_lease_extension{6'000};
   /// Maximum time from a stop to the end of the run.
   Millis stop_timeout{400};
+  /// Time within which the evacuation of a data centre has to take effect; zero
+  /// if there is no such limit.
+  Millis evacuation_limit;
+  /// Maximum time for which an operator's tool repeats an evacuation request.
+  Millis operator_resend{5'000};
+  /// Names of all data centres; empty if they are not known.
+  std::vector<std::string> data_centres;
 };
 
 /// Consensus timing of the control members; must be equal at all of them.
--- a/source/control/commands.cc
+++ b/source/control/commands.cc
@@ -10,7 +10,8 @@
          cancellations.empty() && announcements.empty() && drains.empty() &&
          events.empty() && expired.empty() && removed_workers.empty() &&
          evictions.empty() && unplaceable.empty() && grants.empty() &&
-         claims.empty() && claim_outcomes.empty() && workflow.IsEmpty();
+         claims.empty() && claim_outcomes.empty() && workflow.IsEmpty() &&
+         evacuations.empty();
 }
 
 std::string EncodeBatch(const CommandBatch& batch) {
--- a/source/control/commands.h
+++ b/source/control/commands.h
@@ -12,6 +12,7 @@
 #include "source/message/configuration.h"
 #include "source/message/request_messages.h"
 #include "source/message/task_messages.h"
+#include "source/workflow/evacuation_table.h"
 #include "source/workflow/workflow_commands.h"
 
 namespace fulmarrock {
@@ -189,6 +190,9 @@
   std::vector<ClaimCommand> claims;
   std::vector<ClaimOutcomeCommand> claim_outcomes;
   WorkflowBatch workflow;
+  /// Applied before `workflow`, so that no assignment of this entry goes to a
+  /// data centre that it evacuates.
+  std::vector<EvacuationCommand> evacuations;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
@@ -196,7 +200,7 @@
             self.cancellations, self.announcements, self.drains, self.events,
             self.expired, self.removed_workers, self.evictions,
             self.unplaceable, self.grants, self.claims, self.claim_outcomes,
-            self.workflow);
+            self.workflow, self.evacuations);
   }
 
   /// Whether the batch has no commands.
--- a/source/control/control_operators.cc
+++ b/source/control/control_operators.cc
@@ -79,6 +79,18 @@
   return m_state.workflows().queue_configuration();
 }
 
+void ControlRole::SetEvacuation(EvacuationRequest request, Done<bool> done) {
+  if (IsAccepting(done))
+    m_evacuations.Submit(std::move(request), m_next_batch.evacuations,
+                         std::move(done));
+}
+
+Result<std::vector<DataCentreView>> ControlRole::ListDataCentres() const {
+  if (!IsLeading())
+    return tl::make_unexpected(NotLeader());
+  return m_evacuations.List(m_clock.Now() + m_time_offset);
+}
+
 void ControlRole::SubmitJob(SubmitRequest request, Done<JobId> done) {
   if (!IsAccepting(done) || !IsValidOperationId(request.operation_id, done))
     return;
--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -35,7 +35,15 @@
       m_distributor(m_state.config(), transport),
       m_claims(transport, m_counters),
       m_dispatcher(m_state, scheduler, m_leases, transport, m_counters),
-      m_workflows(m_state.workflows(), transport, random, m_counters) {}
+      m_workflows(m_state.workflows(),
+                  m_state.evacuations(),
+                  transport,
+                  random,
+                  m_counters),
+      m_evacuations(m_state.evacuations(),
+                    m_state.workflows(),
+                    random,
+                    m_counters) {}
 
 void ControlRole::ConfigureWorkflows(const WorkflowOptions& options,
                                      const WallClock& wall_clock,
@@ -157,7 +165,8 @@
 }
 
 bool ControlRole::IsDrained() const {
-  return m_is_stopping && m_waiters.empty() && m_member_waiters.empty();
+  return m_is_stopping && m_waiters.empty() && m_member_waiters.empty() &&
+         !m_evacuations.HasWaitingRequests();
 }
 
 void ControlRole::Apply(LogIndex index, std::string_view command) {
@@ -206,6 +215,7 @@
   m_next_batch_bytes = 0;
   m_dispatcher.Clear();
   m_workflows.OnLeadershipLost();
+  m_evacuations.OnLeadershipLost();
   FailWaiters({ErrorKind::kUnavailable,
                "the leader changed before the change was known to be committed",
                "repeat it with the same operation id"});
@@ -357,6 +367,7 @@
     SendEventsAck(worker);
   m_claims.OnEffects(effects);
   m_workflows.OnEffects(effects.workflow, now);
+  m_evacuations.OnEffects(effects.evacuations);
   for (const OperationEffect& effect : effects.operations) {
     const auto it = m_waiters.find(effect.token);
     if (it == m_waiters.end())
--- a/source/control/control_role.h
+++ b/source/control/control_role.h
@@ -19,6 +19,7 @@
 #include "source/control/claim_service.h"
 #include "source/control/config_distributor.h"
 #include "source/control/control_state.h"
+#include "source/control/evacuation_service.h"
 #include "source/control/lease_monitor.h"
 #include "source/control/membership_manager.h"
 #include "source/control/operator_service.h"
@@ -55,6 +56,11 @@
                           const WallClock& wall_clock,
                           DecisionLog& decisions);
 
+  /// Sets the options of the handling of evacuations.
+  void ConfigureEvacuations(EvacuationOptions options, DecisionLog& decisions) {
+    m_evacuations.Configure(std::move(options), decisions);
+  }
+
   /// Makes this member maintain the membership of its group: it finds the
   /// group, joins it, and as the leader changes the members.
   void SetMembershipManager(
@@ -96,6 +102,8 @@
   void SetQueueConfiguration(QueueConfiguration queue_configuration,
                              Done<bool> done) override;
   Result<QueueConfiguration> GetQueueConfiguration() const override;
+  void SetEvacuation(EvacuationRequest request, Done<bool> done) override;
+  Result<std::vector<DataCentreView>> ListDataCentres() const override;
   NodeId LeaderNode() const override { return m_log->Leader(); }
 
   const ControlState& state() const { return m_state; }
@@ -172,6 +180,7 @@
   ClaimService m_claims;
   TaskDispatcher m_dispatcher;
   WorkflowService m_workflows;
+  EvacuationService m_evacuations;
   const WallClock* m_wall_clock = nullptr;
   NullDecisionLog m_no_log;
   DecisionLog* m_decisions = &m_no_log;
--- a/source/control/control_snapshot.cc
+++ b/source/control/control_snapshot.cc
@@ -9,9 +9,12 @@
 /// members ignore them, and newer ones find defaults where they are missing.
 struct ControlState::Snapshot {
   /// Increased only for snapshots that older members must not read at all.
-  static constexpr uint32_t kFormat = 1;
+  static constexpr uint32_t kFormat = 2;
+  /// Format of snapshots without evacuations. Older members can read it; one
+  /// that ignored an evacuation would start runs there as the leader.
+  static constexpr uint32_t kFormatWithoutEvacuations = 1;
 
-  uint32_t format = kFormat;
+  uint32_t format = kFormatWithoutEvacuations;
   Millis time;
   ConfigurationHistory::Snapshot config;
   std::vector<OperationRecord> operations;
@@ -19,11 +22,12 @@
   std::vector<WorkerRecord> workers;
   std::vector<ClaimRecord> claims;
   WorkflowState::Snapshot workflows;
+  EvacuationTable::Snapshot evacuations;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.format, self.time, self.config, self.operations, self.jobs,
-            self.workers, self.claims, self.workflows);
+            self.workers, self.claims, self.workflows, self.evacuations);
   }
 };
 
@@ -36,6 +40,9 @@
   snapshot.workers = m_workers.Save();
   snapshot.claims = m_claims.Save();
   snapshot.workflows = m_workflows.Save();
+  snapshot.evacuations = m_evacuations.Save();
+  if (!snapshot.evacuations.entries.empty())
+    snapshot.format = Snapshot::kFormat;
   return PackStruct(snapshot);
 }
 
@@ -57,6 +64,7 @@
   m_workers.Restore(std::move(snapshot.workers));
   m_claims.Restore(std::move(snapshot.claims));
   m_workflows.Restore(std::move(snapshot.workflows));
+  m_evacuations.Restore(std::move(snapshot.evacuations));
   for (const auto& [id, job] : m_jobs.jobs()) {
     for (uint32_t i = 0; i < job.tasks.size(); ++i) {
       const TaskRecord& task = job.tasks[i];
--- a/source/control/control_state.cc
+++ b/source/control/control_state.cc
@@ -29,12 +29,12 @@
 
 ApplyEffects ControlState::Apply(std::string_view payload) {
   ApplyEffects effects;
-  const Result<CommandBatch> decoded = DecodeBatch(payload);
+  Result<CommandBatch> decoded = DecodeBatch(payload);
   if (!decoded) {
     effects.is_malformed = true;
     return effects;
   }
-  const CommandBatch& batch = *decoded;
+  CommandBatch& batch = *decoded;
   m_time = std::max(m_time, batch.time);
   // Pruning comes first: jobs that end below must remain until the leader's
   // scheduler no longer refers to their specifications.
@@ -70,10 +70,30 @@
     effects.claim_outcomes.emplace_back(command.entry,
                                         ClaimOutcomeAck{command.outcome.id});
   }
-  effects.workflow = m_workflows.Apply(batch.workflow, m_time);
+  for (const auto& command : batch.evacuations)
+    Evacuate(command, effects);
+  ApplyWorkflows(batch.workflow, effects);
   return effects;
 }
 
+void ControlState::Evacuate(const EvacuationCommand& command,
+                            ApplyEffects& effects) {
+  effects.evacuations.push_back({command.token, command.data_centre,
+                                 command.is_evacuated,
+                                 m_evacuations.Apply(command, m_time)});
+}
+
+void ControlState::ApplyWorkflows(WorkflowBatch& batch, ApplyEffects& effects) {
+  const bool has_assignments = !batch.assignments.empty();
+  // They may have been planned before the evacuation was applied.
+  std::erase_if(batch.assignments, [this](const AssignRun& assignment) {
+    const WorkerEntry* worker = m_workflows.FindWorker(assignment.worker);
+    return worker && m_evacuations.IsEvacuated(worker->attributes.data_centre);
+  });
+  effects.workflow = m_workflows.Apply(batch, m_time);
+  effects.workflow.has_assignments = has_assignments;
+}
+
 void ControlState::ApplyConfiguration(const ApplyCommand& command,
                                       ApplyEffects& effects) {
   const auto* first =
--- a/source/control/control_state.h
+++ b/source/control/control_state.h
@@ -53,6 +53,14 @@
   Result<uint64_t> result;
 };
 
+/// Result of an applied EvacuationCommand, for the caller that waits for it.
+struct EvacuationEffect {
+  uint64_t token = 0;
+  std::string data_centre;
+  bool is_evacuated = false;
+  EvacuationOutcome outcome = EvacuationOutcome::kUnchanged;
+};
+
 /// Effects of an applied log entry that the leader has to act on. Followers
 /// ignore them.
 struct ApplyEffects {
@@ -66,6 +74,7 @@
   std::vector<std::pair<NodeId, ClaimReply>> claims;
   std::vector<std::pair<NodeId, ClaimOutcomeAck>> claim_outcomes;
   WorkflowEffects workflow;
+  std::vector<EvacuationEffect> evacuations;
   /// Set when the log entry could not be decoded; nothing was applied.
   bool is_malformed = false;
 };
@@ -94,6 +103,7 @@
   const WorkerTable& workers() const { return m_workers; }
   const ClaimTable& claims() const { return m_claims; }
   const WorkflowState& workflows() const { return m_workflows; }
+  const EvacuationTable& evacuations() const { return m_evacuations; }
 
  private:
   struct Snapshot;
@@ -112,6 +122,8 @@
   void Evict(const EvictCommand& command, ApplyEffects& effects);
   void SetReason(const UnplaceableCommand& command);
   void Grant(const GrantCommand& command, ApplyEffects& effects);
+  void Evacuate(const EvacuationCommand& command, ApplyEffects& effects);
+  void ApplyWorkflows(WorkflowBatch& batch, ApplyEffects& effects);
   bool CanGrant(const GrantCommand& command) const;
 
   uint64_t CancelOpenTasks(JobRecord& job, ApplyEffects& effects);
@@ -133,6 +145,7 @@
   WorkerTable m_workers;
   ClaimTable m_claims;
   WorkflowState m_workflows;
+  EvacuationTable m_evacuations;
 };
 
 }  // namespace fulmarrock
--- a/source/control/operator_service.h
+++ b/source/control/operator_service.h
@@ -107,6 +107,25 @@
   uint64_t running_tasks = 0;
 };
 
+/// Request to evacuate a data centre, or to end its evacuation.
+struct EvacuationRequest {
+  std::string data_centre;
+  bool is_evacuated = false;
+};
+
+/// One data centre as shown to operators.
+struct DataCentreView {
+  std::string name;
+  bool is_evacuated = false;
+  /// Time since its evacuation began; zero while it is not evacuated.
+  Millis evacuated_for;
+  uint32_t workers = 0;
+  /// Runs on its workers.
+  uint32_t active_tasks = 0;
+  uint32_t active_long_running = 0;
+  uint32_t active_best_effort = 0;
+};
+
 /// Interface of control for operators and customers. All calls are made on the
 /// role's thread; `done` is called once on the same thread, when the change is
 /// committed or has failed. Changes fail with kNotLeader at a follower; the
@@ -155,6 +174,17 @@
   /// member cannot know which version is the newest.
   virtual Result<QueueConfiguration> GetQueueConfiguration() const = 0;
 
+  /// Evacuates a data centre or ends its evacuation; `done` is called when the
+  /// request is committed, also if it changes nothing. Fails with
+  /// kInvalidArgument for a malformed name, kNotFound for an unknown data
+  /// centre, kNotLeader, or kUnavailable when the request should be repeated.
+  virtual void SetEvacuation(EvacuationRequest request, Done<bool> done) = 0;
+
+  /// Returns the data centres that workers, settings or evacuations name, in
+  /// the order of their names. Fails with kNotLeader when this member cannot
+  /// know the newest state.
+  virtual Result<std::vector<DataCentreView>> ListDataCentres() const = 0;
+
   /// Returns the leader if this member knows it, or an empty id.
   virtual NodeId LeaderNode() const = 0;
 };
--- a/source/control/operator_service_proxy.cc
+++ b/source/control/operator_service_proxy.cc
@@ -82,6 +82,20 @@
   return m_service->GetQueueConfiguration();
 }
 
+void OperatorServiceProxy::SetEvacuation(EvacuationRequest request,
+                                         Done<bool> done) {
+  if (!m_service)
+    return done(NotOpenError());
+  m_service->SetEvacuation(std::move(request), std::move(done));
+}
+
+Result<std::vector<DataCentreView>> OperatorServiceProxy::ListDataCentres()
+    const {
+  if (!m_service)
+    return NotOpenError();
+  return m_service->ListDataCentres();
+}
+
 NodeId OperatorServiceProxy::LeaderNode() const {
   return m_service ? m_service->LeaderNode() : NodeId();
 }
--- a/source/control/operator_service_proxy.h
+++ b/source/control/operator_service_proxy.h
@@ -37,6 +37,8 @@
   void SetQueueConfiguration(QueueConfiguration queue_configuration,
                              Done<bool> done) override;
   Result<QueueConfiguration> GetQueueConfiguration() const override;
+  void SetEvacuation(EvacuationRequest request, Done<bool> done) override;
+  Result<std::vector<DataCentreView>> ListDataCentres() const override;
   NodeId LeaderNode() const override;
 
  private:
--- a/source/control/supervised_member.cc
+++ b/source/control/supervised_member.cc
@@ -109,6 +109,7 @@
   ControlRole& role = m_member->role();
   role.ConfigureWorkflows(m_options.workflow, m_env.wall_clock,
                           m_env.decisions);
+  role.ConfigureEvacuations(m_options.evacuation, m_env.decisions);
   if (m_options.discovers_members) {
     role.SetMembershipManager(std::make_unique<MembershipManager>(
         m_options.consensus.node, m_options.seed_nodes, m_env.clock,
--- a/source/control/supervised_member.h
+++ b/source/control/supervised_member.h
@@ -18,6 +18,7 @@
 struct SupervisedMemberOptions {
   ConsensusOptions consensus;
   WorkflowOptions workflow;
+  EvacuationOptions evacuation;
   /// Nodes that may be members of the group.
   std::vector<NodeId> seed_nodes;
   /// Whether members admit each other, so that one whose data folder was
--- a/source/control/workflow_service.cc
+++ b/source/control/workflow_service.cc
@@ -33,10 +33,12 @@
 }  // namespace
 
 WorkflowService::WorkflowService(const WorkflowState& state,
+                                 const EvacuationTable& evacuations,
                                  Transport& transport,
                                  RandomSource& random,
                                  Counters& counters)
     : m_state(state),
+      m_evacuations(evacuations),
       m_transport(transport),
       m_counters(counters),
       m_callers(state, transport, random, counters),
@@ -296,7 +298,8 @@
       continue;
     }
     statuses[link.worker()] = {
-        report.is_accepting_runs && !report.all_runs_ended,
+        report.is_accepting_runs && !report.all_runs_ended &&
+            !IsEvacuated(link.worker()),
         report.attributes.capacity(), link.latency_critical_samples(),
         link.best_effort_samples()};
   }
@@ -430,9 +433,16 @@
   WorkerInstructions instructions = link.TakeInstructions(
       m_log->CurrentTerm(), may_extend ? m_options.lease : Millis(0), now);
   instructions.members = MemberNodesOf(*m_log);
+  instructions.evacuation_version = m_evacuations.version();
+  instructions.is_evacuated = may_extend && IsEvacuated(link.worker());
   m_transport.Send(link.agent(), instructions);
 }
 
+bool WorkflowService::IsEvacuated(WorkerNumber worker) const {
+  const WorkerEntry* entry = m_state.FindWorker(worker);
+  return entry && m_evacuations.IsEvacuated(entry->attributes.data_centre);
+}
+
 WorkerLink& WorkflowService::LinkOf(const NodeId& agent) {
   return m_links.try_emplace(agent, agent, m_state).first->second;
 }
--- a/source/control/workflow_service.h
+++ b/source/control/workflow_service.h
@@ -13,6 +13,7 @@
 #include "source/control/worker_link.h"
 #include "source/control/workflow_callers.h"
 #include "source/message/transport.h"
+#include "source/workflow/evacuation_table.h"
 #include "source/workflow/worker_leases.h"
 #include "source/workflow/workflow_scheduler.h"
 #include "source/workflow/workflow_state.h"
@@ -32,6 +33,7 @@
  public:
   /// The referenced objects must outlive the service.
   WorkflowService(const WorkflowState& state,
+                  const EvacuationTable& evacuations,
                   Transport& transport,
                   RandomSource& random,
                   Counters& counters);
@@ -90,10 +92,13 @@
   std::map<WorkerNumber, WorkerStatus> Statuses(Millis now) const;
   void SendInstructions(WorkerLink& link, bool is_reply, Millis now);
   void SendDueInstructions(Millis now);
+  /// Whether no run may start on a worker because of its data centre.
+  bool IsEvacuated(WorkerNumber worker) const;
   WorkerLink& LinkOf(const NodeId& agent);
   WorkerLink* FindLink(WorkerNumber worker);
 
   const WorkflowState& m_state;
+  const EvacuationTable& m_evacuations;
   Transport& m_transport;
   Counters& m_counters;
   WorkflowOptions m_options;
--- a/source/daemon/control_host.cc
+++ b/source/daemon/control_host.cc
@@ -87,8 +87,11 @@
       m_settings.consensus.election_timeout_min;
   options.consensus.election_timeout_max =
       m_settings.consensus.election_timeout_max;
-  if (m_settings.workflow)
+  if (m_settings.workflow) {
     options.workflow.lease = m_settings.workflow->lease;
+    options.evacuation.resend_limit = m_settings.workflow->operator_resend;
+    options.evacuation.data_centres = m_settings.workflow->data_centres;
+  }
   options.seed_nodes = NodesOf(m_settings.control_members);
   options.discovers_members = m_settings.discovers_members;
   state->member = std::make_unique<SupervisedMember>(
--- a/source/daemon/workflow_host.cc
+++ b/source/daemon/workflow_host.cc
@@ -36,6 +36,7 @@
     options.control_members = NodesOf(settings.control_members);
     options.max_lease_extension = m_settings.max_lease_extension;
     options.stop_timeout = m_settings.stop_timeout;
+    options.evacuation_limit = m_settings.evacuation_limit;
     m_client = std::make_unique<platform::HttpRunClient>(loop, decisions);
     m_runner = std::make_unique<WorkflowRunner>(
         std::move(options), clock, transport, *m_client,
--- a/source/message/workflow_messages.h
+++ b/source/message/workflow_messages.h
@@ -277,13 +277,20 @@
   /// Known coefficients; empty if control has not updated them since the last
   /// instructions.
   std::vector<InterferenceCoefficient> interference_coefficients;
+  /// Version of the table of evacuated data centres that `is_evacuated` is
+  /// from; zero from older versions and while no data centre was ever
+  /// evacuated.
+  uint64_t evacuation_version = 0;
+  /// Whether the worker's data centre is evacuated, so that no run may start.
+  bool is_evacuated = false;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.term, self.agent_incarnation, self.worker_incarnation,
             self.report_sent_at, self.lease, self.needs_full_report,
             self.stored_sequence, self.starts, self.stops, self.members,
-            self.interference_coefficients);
+            self.interference_coefficients, self.evacuation_version,
+            self.is_evacuated);
   }
 };
 
--- a/tests/net/operator_front_end_test.cc
+++ b/tests/net/operator_front_end_test.cc
@@ -57,6 +57,15 @@
   Result<QueueConfiguration> GetQueueConfiguration() const override {
     return QueueConfiguration();
   }
+  void SetEvacuation(EvacuationRequest request, Done<bool> done) override {
+    evacuation = std::move(request);
+    done(true);
+  }
+  Result<std::vector<DataCentreView>> ListDataCentres() const override {
+    DataCentreView view;
+    view.name = "dc1";
+    return std::vector<DataCentreView>{view};
+  }
   NodeId LeaderNode() const override { return "c1"; }
   ClusterStatus GetStatus() const override {
     ClusterStatus status;
@@ -68,6 +77,7 @@
   SubmitRequest submitted;
   std::pair<NodeId, bool> drained;
   Member member;
+  EvacuationRequest evacuation;
   std::optional<Error> failure;
 };
 
