Net: Limit what clients can use of a process

A process held everything that its clients sent and did not finish: 300 bodies of 3 MB that stop one byte short took 896 MB. Bodies over the limit kept their memory, since assigning {} to a string keeps its capacity, and libmicrohttpd kept the connections of clients that went away within a body.

All HTTP servers of a process share a memory budget, and so do the connections of other processes. Each interface has a limit on its connections, beyond which the one that waited longest is closed. The defaults derive from the memory and the descriptors of the process.

--- a/source/config/settings.cc
+++ b/source/config/settings.cc
@@ -23,6 +23,10 @@
 constexpr int64_t kMinLeaseMs = 500;
 constexpr int64_t kMaxLeaseMs = 600'000;
 constexpr int64_t kMaxElectionMs = 600'000;
+constexpr int64_t kMaxLimitMib = 1 << 20;
+constexpr int64_t kMaxLimitConnections = 1'000'000;
+constexpr int64_t kMinLimitMs = 1'000;
+constexpr int64_t kMaxLimitMs = 3'600'000;
 
 /// Processes address each other by IP address, so host names are refused.
 bool IsIpAndPort(const std::string& address) {
@@ -127,6 +131,31 @@
   return workflow;
 }
 
+ClientLimitSettings ReadLimits(JsonReader& reader) {
+  ClientLimitSettings limits;
+  const auto memory = [&reader](const char* name) {
+    return reader.Integer(name, 0, kMaxLimitMib, 0);
+  };
+  const auto connections = [&reader](const char* name) {
+    return reader.Integer(name, 0, kMaxLimitConnections, 0);
+  };
+  const auto time = [&reader](const char* name, Millis fallback) {
+    return Millis(
+        reader.Integer(name, kMinLimitMs, kMaxLimitMs, fallback.count()));
+  };
+  limits.request_memory_mib = memory("request_memory_mib");
+  limits.message_memory_mib = memory("message_memory_mib");
+  limits.caller_connections = connections("caller_connections");
+  limits.http_connections = connections("http_connections");
+  limits.service_connections = connections("service_connections");
+  limits.peer_connections = connections("peer_connections");
+  limits.body_timeout = time("body_timeout_ms", limits.body_timeout);
+  limits.message_timeout = time("message_timeout_ms", limits.message_timeout);
+  limits.idle_timeout = time("idle_timeout_ms", limits.idle_timeout);
+  reader.Finish();
+  return limits;
+}
+
 ConsensusSettings ReadConsensus(JsonReader& reader) {
   ConsensusSettings consensus;
   consensus.heartbeat = Millis(reader.Integer("heartbeat_ms", 1, kMaxElectionMs,
@@ -261,6 +290,8 @@
     settings.workflow = ReadWorkflow(*workflow);
   if (std::optional<JsonReader> consensus = reader.Object("consensus"))
     settings.consensus = ReadConsensus(*consensus);
+  if (std::optional<JsonReader> limits = reader.Object("limits"))
+    settings.limits = ReadLimits(*limits);
   ReadLog(reader, settings);
   settings.shutdown_timeout =
       Millis(reader.Integer("shutdown_limit_ms", 0, kMaxShutdownMs,
--- a/source/config/settings.h
+++ b/source/config/settings.h
@@ -76,6 +76,20 @@
   std::vector<std::string> data_centres;
 };
 
+/// What the clients of a process may use of it. Zero derives a memory size or a
+/// number of connections from the limits of the process.
+struct ClientLimitSettings {
+  int64_t request_memory_mib = 0;
+  int64_t message_memory_mib = 0;
+  int64_t caller_connections = 0;
+  int64_t http_connections = 0;
+  int64_t service_connections = 0;
+  int64_t peer_connections = 0;
+  Millis body_timeout{30'000};
+  Millis message_timeout{60'000};
+  Millis idle_timeout{120'000};
+};
+
 /// Consensus timing of the control members; must be equal at all of them.
 struct ConsensusSettings {
   Millis heartbeat{100};
@@ -104,6 +118,7 @@
   std::optional<WorkerSettings> worker;
   std::optional<WorkflowSettings> workflow;
   ConsensusSettings consensus;
+  ClientLimitSettings limits;
   /// Whether control members are discovered through seed nodes, and admit each
   /// other. Nodes are then named by their IP address, and all use the port of
   /// `peer_listen`.
--- a/source/daemon/daemon.cc
+++ b/source/daemon/daemon.cc
@@ -17,8 +17,12 @@
 /// is not found. They may name other members, also without a signal.
 constexpr Millis kSearchReloadInterval{5'000};
 
-TransportOptions MakeTransportOptions(const Settings& settings) {
+TransportOptions MakeTransportOptions(const Settings& settings,
+                                      const ClientLimits& limits) {
   TransportOptions options;
+  options.max_incoming_connections = limits.peer_connections;
+  options.budget.limit = limits.message_memory;
+  options.message_timeout = limits.message_timeout;
   options.self = settings.node;
   options.listen_address = settings.peer_listen;
   for (const auto* peers : {&settings.control_members, &settings.entries}) {
@@ -36,9 +40,14 @@
 }
 
 HttpServerOptions MakeServerOptions(const Settings& settings,
+                                    const ClientLimits& limits,
+                                    MemoryBudget& budget,
                                     DecisionLog& decisions) {
   HttpServerOptions options;
   options.address = settings.http_listen;
+  options.max_connections = limits.http_connections;
+  options.idle_timeout = limits.idle_timeout;
+  options.budget = &budget;
   options.decisions = &decisions;
   return options;
 }
@@ -67,10 +76,16 @@
           m_loop,
           [this] { OnStopSignal(); },
           [this] { Reload(); }),
-      m_server(m_loop, MakeServerOptions(settings, m_decisions)),
+      m_limits(MakeClientLimits(settings.limits, ReadProcessLimits())),
+      m_limit_monitor(m_limits, m_decisions),
+      m_server(m_loop,
+               MakeServerOptions(settings,
+                                 m_limits,
+                                 m_limit_monitor.requests(),
+                                 m_decisions)),
       m_diagnostics(m_loop, m_server),
       m_transport(m_loop,
-                  MakeTransportOptions(settings),
+                  MakeTransportOptions(settings, m_limits),
                   m_random,
                   [this](const NodeId& from, const Message& message) {
                     OnMessage(from, message);
@@ -124,7 +139,8 @@
 Result<void> Daemon::StartRoles() {
   if (m_settings.workflow) {
     m_workflows = std::make_unique<WorkflowHost>(
-        m_loop, m_settings, m_clock, m_transport, m_random, m_decisions);
+        m_loop, m_settings, m_clock, m_transport, m_random, m_decisions,
+        m_limits, m_limit_monitor.requests());
     if (m_control) {
       m_workflows->ServeOperators(m_control->service(),
                                   m_control->service_loop());
@@ -174,6 +190,7 @@
   m_diagnostics.AddCounters("transport", m_loop, m_transport.counters());
   m_diagnostics.AddCounters("http", m_loop, m_server.counters());
   m_diagnostics.AddCounters("loop", m_loop, m_loop.counters());
+  m_limit_monitor.AddDiagnostics(m_diagnostics, m_loop, m_transport.budget());
   if (m_entry) {
     m_diagnostics.AddState("entry", m_loop,
                            [this] { return m_entry->DumpState(); });
@@ -203,6 +220,7 @@
 }
 
 void Daemon::OnTick() {
+  m_limit_monitor.OnTick(m_clock.Now());
   if (m_entry)
     m_entry->OnTick();
   if (m_agent)
--- a/source/daemon/daemon.h
+++ b/source/daemon/daemon.h
@@ -9,6 +9,7 @@
 #include "source/base/steady_clock.h"
 #include "source/config/settings.h"
 #include "source/daemon/agent_host.h"
+#include "source/daemon/client_limit_monitor.h"
 #include "source/daemon/control_host.h"
 #include "source/daemon/workflow_host.h"
 #include "source/entry/entry_role.h"
@@ -64,6 +65,8 @@
   EventLoop m_loop;
   // Blocks the signals before other threads are started.
   SignalWatcher m_signals;
+  const ClientLimits m_limits;
+  ClientLimitMonitor m_limit_monitor;
   HttpServer m_server;
   DiagnosticsFrontEnd m_diagnostics;
   Http2Transport m_transport;
--- a/source/daemon/main.cc
+++ b/source/daemon/main.cc
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <iostream>
 #include <string>
 
@@ -11,6 +13,11 @@
 
 namespace {
 
+/// Allocations of this size go back to the system when they are freed. By
+/// default the allocator raises the threshold with the largest block that was
+/// freed, and then large request bodies fragment the heap.
+constexpr int kMappedAllocationBytes = 256 * 1024;
+
 int Fail(const fulmarrock::Error& error) {
   std::cerr << "fulmarrockd: " << error.Describe() << "\n";
   return 2;
@@ -21,6 +28,7 @@
 /// Exit codes: 0 after a complete graceful shutdown, 1 after a failure, 2 for
 /// invalid options or settings.
 int main(int argc, char** argv) {
+  mallopt(M_MMAP_THRESHOLD, kMappedAllocationBytes);
   po::options_description options("fulmarrockd");
   options.add_options()("help", "print this help and exit")(
       "settings", po::value<std::string>(),
--- a/source/daemon/workflow_host.cc
+++ b/source/daemon/workflow_host.cc
@@ -14,8 +14,14 @@
                            const Clock& clock,
                            Transport& transport,
                            RandomSource& random,
-                           DecisionLog& decisions)
-    : m_loop(loop), m_settings(*settings.workflow), m_decisions(decisions) {
+                           DecisionLog& decisions,
+                           const ClientLimits& limits,
+                           MemoryBudget& request_memory)
+    : m_loop(loop),
+      m_settings(*settings.workflow),
+      m_decisions(decisions),
+      m_limits(limits),
+      m_request_memory(request_memory) {
   if (settings.runs_entry) {
     WorkflowGatewayOptions options;
     options.id = settings.node;
@@ -23,11 +29,14 @@
     m_gateway = std::make_unique<WorkflowGateway>(std::move(options), clock,
                                                   transport, random, decisions);
     if (!m_settings.caller_listen.empty()) {
-      m_caller_server = &AddServer(m_settings.caller_listen);
+      m_caller_server =
+          &AddServer(m_settings.caller_listen, m_limits.caller_connections);
       platform::ServeCallers(*m_gateway, *m_caller_server);
     }
     if (!m_settings.ready_listen.empty())
-      platform::ServeReadiness(*m_gateway, AddServer(m_settings.ready_listen));
+      platform::ServeReadiness(
+          *m_gateway,
+          AddServer(m_settings.ready_listen, m_limits.service_connections));
   }
   if (settings.runs_agent) {
     WorkflowRunnerOptions options;
@@ -42,7 +51,8 @@
         std::move(options), clock, transport, *m_client,
         [] { return std::make_unique<LatencyGuidedSpeedLimit>(); }, decisions);
     if (!m_settings.worker_listen.empty())
-      platform::ServeWorker(*m_runner, AddServer(m_settings.worker_listen));
+      platform::ServeWorker(*m_runner, AddServer(m_settings.worker_listen,
+                                                 m_limits.service_connections));
   }
 }
 
@@ -53,12 +63,16 @@
     return;
   platform::ServeOperator(service, service_loop,
                           address.substr(address.rfind(':') + 1),
-                          AddServer(address));
+                          AddServer(address, m_limits.service_connections));
 }
 
-HttpServer& WorkflowHost::AddServer(const std::string& address) {
+HttpServer& WorkflowHost::AddServer(const std::string& address,
+                                    unsigned max_connections) {
   HttpServerOptions options;
   options.address = address;
+  options.max_connections = max_connections;
+  options.idle_timeout = m_limits.idle_timeout;
+  options.budget = &m_request_memory;
   options.decisions = &m_decisions;
   m_servers.push_back(std::make_unique<HttpServer>(m_loop, options));
   return *m_servers.back();
--- a/source/daemon/workflow_host.h
+++ b/source/daemon/workflow_host.h
@@ -13,6 +13,7 @@
 #include "source/control/operator_service.h"
 #include "source/entry/workflow_gateway.h"
 #include "source/message/transport.h"
+#include "source/net/client_limits.h"
 #include "source/net/diagnostics_front_end.h"
 #include "source/net/http_server.h"
 
@@ -29,7 +30,9 @@
                const Clock& clock,
                Transport& transport,
                RandomSource& random,
-               DecisionLog& decisions);
+               DecisionLog& decisions,
+               const ClientLimits& limits,
+               MemoryBudget& request_memory);
 
   /// Serves the operators' interface of a control member.
   void ServeOperators(OperatorService& service, EventLoop& service_loop);
@@ -57,11 +60,13 @@
   void AddDiagnostics(DiagnosticsFrontEnd& diagnostics);
 
  private:
-  HttpServer& AddServer(const std::string& address);
+  HttpServer& AddServer(const std::string& address, unsigned max_connections);
 
   EventLoop& m_loop;
   const WorkflowSettings m_settings;
   DecisionLog& m_decisions;
+  const ClientLimits m_limits;
+  MemoryBudget& m_request_memory;
   std::vector<std::unique_ptr<HttpServer>> m_servers;
   HttpServer* m_caller_server = nullptr;
   std::unique_ptr<WorkflowGateway> m_gateway;
--- a/source/entry/workflow_gateway.cc
+++ b/source/entry/workflow_gateway.cc
@@ -30,6 +30,20 @@
 /// other entries.
 constexpr Millis kDrainPeriod{2'600};
 constexpr size_t kMaxPending = 4'000;
+/// Memory of all pending calls. One submission may have a thousand steps, each
+/// many times larger than its text.
+constexpr size_t kMaxPendingBytes = size_t{16} << 20;
+
+size_t EstimateBytes(const WorkflowCall& call) {
+  size_t bytes = sizeof(WorkflowCall) + call.host.size() + call.path.size() +
+                 call.spec.payload.size();
+  for (const StepSpec& step : call.spec.steps) {
+    bytes += sizeof(StepSpec) + step.depends_on.size() * sizeof(uint32_t) +
+             step.required_label.size() + step.data_rack.size() +
+             step.image.size();
+  }
+  return bytes;
+}
 
 }  // namespace
 
@@ -46,7 +60,9 @@
       m_leader_finder(m_options.control_members, clock, transport, decisions) {}
 
 void WorkflowGateway::Call(WorkflowCall call, Millis deadline, Done done) {
-  if (m_pending.size() >= kMaxPending) {
+  const size_t bytes = EstimateBytes(call);
+  if (m_pending.size() >= kMaxPending ||
+      m_pending_bytes + bytes > kMaxPendingBytes) {
     m_counters.Add("entry_calls_over_limit");
     done({CallOutcome::kNotAccepted, {}, kRetryDelay});
     return;
@@ -58,6 +74,8 @@
                      std::max(deadline - kDeadlineMargin, kDeadlineMargin);
   pending.done = std::move(done);
   pending.call = std::move(call);
+  pending.bytes = bytes;
+  m_pending_bytes += bytes;
   const uint64_t id = pending.call.call;
   m_counters.Add("entry_workflow_calls");
   Send(m_pending.emplace(id, std::move(pending)).first->second);
@@ -181,8 +199,10 @@
 
 void WorkflowGateway::Finish(uint64_t call, CallResult result) {
   auto node = m_pending.extract(call);
-  if (!node.empty())
-    node.mapped().done(result);
+  if (node.empty())
+    return;
+  m_pending_bytes -= node.mapped().bytes;
+  node.mapped().done(result);
 }
 
 bool WorkflowGateway::IsReady() const {
--- a/source/entry/workflow_gateway.h
+++ b/source/entry/workflow_gateway.h
@@ -90,6 +90,8 @@
     bool is_result_unknown = false;
     bool is_sent = false;
     NodeId last_member;
+    /// Estimate of the memory that the call uses.
+    size_t bytes = 0;
   };
 
   void Send(PendingCall& pending);
@@ -116,6 +118,7 @@
   Counters m_counters;
   LeaderFinder m_leader_finder;
   std::unordered_map<uint64_t, PendingCall> m_pending;
+  size_t m_pending_bytes = 0;
   // Start of the time without a leader's reply while calls are pending; zero if
   // none.
   Millis m_unanswered_since;
--- a/source/net/http2_connection.cc
+++ b/source/net/http2_connection.cc
@@ -24,6 +24,9 @@
 // Two frames of the largest size: one being received and the one after it.
 constexpr size_t kMaxBufferedBytes = 2 * kMaxFrameBytes;
 constexpr size_t kMaxNodeIdBytes = 128;
+// Memory of a stream besides its body, with what nghttp2 keeps of it.
+constexpr size_t kStreamBytes = 1024;
+constexpr size_t kMinBodyCapacity = 4 * 1024;
 constexpr Millis kPingInterval{500};
 // An agent keeps idle connections to the control members that are not leader.
 constexpr Millis kIdlePingInterval{15'000};
@@ -50,6 +53,8 @@
   /// Server: received so far. Client: the frame to send.
   std::string body;
   size_t sent = 0;
+  /// Server: bytes that the connection's memory charge has for this stream.
+  size_t charged = 0;
 };
 
 /// Functions that nghttp2 calls with the connection as user data.
@@ -68,13 +73,30 @@
                             const nghttp2_frame* frame,
                             void* user) {
     Http2Connection& self = Self(user);
-    if (self.m_side == Side::kServer &&
-        frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
-      self.m_streams.emplace(frame->hd.stream_id, std::make_unique<Stream>());
+    if (self.m_side != Side::kServer ||
+        frame->headers.cat != NGHTTP2_HCAT_REQUEST) {
+      return 0;
     }
+    auto stream = std::make_unique<Stream>();
+    if (!Charge(self, *stream, kStreamBytes))
+      return FailForMemory(self);
+    self.m_streams.emplace(frame->hd.stream_id, std::move(stream));
     return 0;
   }
 
+  static bool Charge(Http2Connection& self, Stream& stream, size_t bytes) {
+    if (!self.m_charge.Add(bytes, self.m_loop.clock().Now()))
+      return false;
+    stream.charged += bytes;
+    // Making room may have aborted this connection.
+    return !self.m_is_closed;
+  }
+
+  static int FailForMemory(Http2Connection& self) {
+    return Fail(self, ErrorKind::kResourceExhausted,
+                "no memory is left for unfinished messages");
+  }
+
   static int OnHeader(nghttp2_session*,
                       const nghttp2_frame* frame,
                       const uint8_t* name,
@@ -120,6 +142,14 @@
                   "unfinished frames of one connection exceed " +
                       std::to_string(kMaxBufferedBytes) + " bytes");
     }
+    const size_t new_size = stream.body.size() + size;
+    if (new_size > stream.body.capacity()) {
+      const size_t capacity =
+          std::max({new_size, 2 * stream.body.capacity(), kMinBodyCapacity});
+      if (!Charge(self, stream, kStreamBytes + capacity - stream.charged))
+        return FailForMemory(self);
+      stream.body.reserve(capacity);
+    }
     stream.body.append(reinterpret_cast<const char*>(data), size);
     self.m_stream_bytes += size;
     return 0;
@@ -189,11 +219,13 @@
 Http2Connection::Http2Connection(EventLoop& loop,
                                  Side side,
                                  UniqueFd fd,
-                                 Listener& listener)
+                                 Listener& listener,
+                                 MemoryBudget& budget)
     : m_loop(loop),
       m_side(side),
       m_fd(std::move(fd)),
       m_listener(listener),
+      m_charge(budget, *this),
       m_last_receive(loop.clock().Now()),
       m_last_ping(m_last_receive),
       m_awaiting_since(m_last_receive) {
@@ -319,6 +351,18 @@
   UpdateWatch();
 }
 
+void Http2Connection::AbortReception() {
+  for (const auto& [id, stream] : m_streams) {
+    stream->body = std::string();
+    stream->charged = 0;
+  }
+  m_stream_bytes = 0;
+  m_charge.Release();
+  Close({ErrorKind::kResourceExhausted,
+         "an unfinished message was given up for lack of memory or time",
+         "none needed, the connection is opened again"});
+}
+
 void Http2Connection::OnEvents(uint32_t events) {
   if ((events & (EPOLLIN | EPOLLERR | EPOLLHUP)) != 0)
     Receive();
@@ -391,8 +435,8 @@
     m_has_callback_error = true;
     return;
   }
-  m_stream_bytes -= stream.body.size();
-  stream.body = {};
+  m_has_received_message = true;
+  ReleaseStream(stream);
   const nghttp2_nv status = MakeHeader(":status", "204");
   nghttp2_submit_response(m_session, stream_id, &status, 1, nullptr);
 }
@@ -401,10 +445,18 @@
   const auto it = m_streams.find(stream_id);
   if (it == m_streams.end())
     return;
-  m_stream_bytes -= it->second->body.size();
+  ReleaseStream(*it->second);
   m_streams.erase(it);
 }
 
+void Http2Connection::ReleaseStream(Stream& stream) {
+  m_stream_bytes -= stream.body.size();
+  stream.body = std::string();
+  if (stream.charged > 0)
+    m_charge.Subtract(stream.charged, m_loop.clock().Now());
+  stream.charged = 0;
+}
+
 void Http2Connection::Close(Error error) {
   if (m_is_closed)
     return;
--- a/source/net/http2_connection.h
+++ b/source/net/http2_connection.h
@@ -11,6 +11,7 @@
 #include "source/base/ids.h"
 #include "source/base/millis.h"
 #include "source/net/event_loop.h"
+#include "source/net/memory_budget.h"
 #include "source/net/unique_fd.h"
 
 struct nghttp2_session;
@@ -19,7 +20,7 @@
 
 /// One HTTP/2 connection between two processes. The client side sends frames as
 /// POST bodies; the server side receives them and responds to each with 204.
-class Http2Connection {
+class Http2Connection : private MemoryBudget::Holder {
  public:
   enum class Side { kClient, kServer };
 
@@ -42,8 +43,13 @@
     virtual void OnClosed(Http2Connection& connection, const Error& error) = 0;
   };
 
-  Http2Connection(EventLoop& loop, Side side, UniqueFd fd, Listener& listener);
-  ~Http2Connection();
+  /// `budget` is the memory for unfinished bodies; it outlives the connection.
+  Http2Connection(EventLoop& loop,
+                  Side side,
+                  UniqueFd fd,
+                  Listener& listener,
+                  MemoryBudget& budget);
+  ~Http2Connection() override;
   Http2Connection(const Http2Connection&) = delete;
   Http2Connection& operator=(const Http2Connection&) = delete;
 
@@ -75,6 +81,9 @@
   /// Time since the peer last sent anything, or since the connection began.
   Millis IdleTime() const { return m_loop.clock().Now() - m_last_receive; }
 
+  /// Whether the peer has sent a complete message.
+  bool has_received_message() const { return m_has_received_message; }
+
   /// Frames sent and not acknowledged, and the sum of their sizes.
   size_t in_flight() const { return m_streams.size(); }
   size_t in_flight_bytes() const { return m_stream_bytes; }
@@ -83,12 +92,14 @@
   struct Stream;
   struct Callbacks;
 
+  void AbortReception() override;
   void OnEvents(uint32_t events);
   void Receive();
   void UpdateWatch();
   void ExpectResponse();
   void FinishBody(int32_t stream_id, Stream& stream);
   void EraseStream(int32_t stream_id);
+  void ReleaseStream(Stream& stream);
   void Close(Error error);
 
   EventLoop& m_loop;
@@ -96,8 +107,11 @@
   UniqueFd m_fd;
   Listener& m_listener;
   nghttp2_session* m_session = nullptr;
+  // Memory of the unfinished streams of a server.
+  MemoryBudget::Charge m_charge;
   std::map<int32_t, std::unique_ptr<Stream>> m_streams;
   size_t m_stream_bytes = 0;
+  bool m_has_received_message = false;
   std::string m_output;
   size_t m_output_sent = 0;
   uint32_t m_watched_events = 0;
--- a/source/net/http2_transport.cc
+++ b/source/net/http2_transport.cc
@@ -68,7 +68,8 @@
     : m_loop(loop),
       m_options(std::move(options)),
       m_random(random),
-      m_handler(std::move(handler)) {
+      m_handler(std::move(handler)),
+      m_budget(m_options.budget) {
   for (const auto& [node, address] : m_options.peers) {
     auto peer = std::make_unique<Peer>(m_options.queue_limits, m_counters);
     peer->address = address;
@@ -233,7 +234,8 @@
         PauseAccepting();
       return;
     }
-    if (m_incoming.size() >= m_options.max_incoming_connections) {
+    if (m_incoming.size() >= m_options.max_incoming_connections &&
+        !CloseUnusedConnection()) {
       m_counters.Add("transport_refused_connections");
       continue;
     }
@@ -242,12 +244,30 @@
     m_counters.Add("transport_accepted_connections");
     auto connection = std::make_unique<Http2Connection>(
         m_loop, Http2Connection::Side::kServer, std::move(fd),
-        static_cast<Http2Connection::Listener&>(*this));
+        static_cast<Http2Connection::Listener&>(*this), m_budget);
     Http2Connection* key = connection.get();
     m_incoming.emplace(key, std::move(connection));
   }
 }
 
+bool Http2Transport::CloseUnusedConnection() {
+  auto chosen = m_incoming.end();
+  for (auto it = m_incoming.begin(); it != m_incoming.end(); ++it) {
+    const bool is_better =
+        !it->second->has_received_message() &&
+        (chosen == m_incoming.end() ||
+         it->second->IdleTime() > chosen->second->IdleTime());
+    if (is_better)
+      chosen = it;
+  }
+  if (chosen == m_incoming.end())
+    return false;
+  m_counters.Add("transport_excess_connections");
+  DestroyLater(std::move(chosen->second));
+  m_incoming.erase(chosen);
+  return true;
+}
+
 void Http2Transport::PauseAccepting() {
   m_counters.Add("transport_out_of_descriptors");
   m_loop.Unwatch(m_listener.get());
@@ -269,6 +289,7 @@
 void Http2Transport::OnTick() {
   for (const auto& [node, peer] : m_peers)
     CheckPeer(*peer);
+  m_budget.AbortOlderThan(m_options.message_timeout, m_loop.clock().Now());
   for (auto it = m_incoming.begin(); it != m_incoming.end();) {
     if (it->second->IdleTime() < kIncomingIdleTimeout) {
       ++it;
@@ -323,7 +344,7 @@
   }
   auto connection = std::make_unique<Http2Connection>(
       m_loop, Http2Connection::Side::kClient, std::move(*fd),
-      static_cast<Http2Connection::Listener&>(*this));
+      static_cast<Http2Connection::Listener&>(*this), m_budget);
   m_owners.emplace(connection.get(), &peer);
   (peer.active ? peer.candidate : peer.active) = std::move(connection);
 }
--- a/source/net/http2_transport.h
+++ b/source/net/http2_transport.h
@@ -34,7 +34,12 @@
   /// learned; zero disables this.
   int default_port = 0;
   PeerQueueLimits queue_limits;
+  /// When there are more, one that has not sent a message yet is closed.
   size_t max_incoming_connections = 8192;
+  /// Memory for unfinished messages.
+  MemoryBudgetOptions budget;
+  /// Longest time to receive a message.
+  Millis message_timeout{60'000};
 };
 
 /// Transport over one persistent HTTP/2 connection per peer and direction. May
@@ -71,6 +76,7 @@
   std::string DumpState() const;
 
   const Counters& counters() const { return m_counters; }
+  const MemoryBudget& budget() const { return m_budget; }
 
  private:
   struct Peer;
@@ -84,6 +90,9 @@
   void WatchListener();
   void Accept();
   void PauseAccepting();
+  /// Closes the incoming connection that has been idle longest among those that
+  /// have not sent a message. Returns false if there is none.
+  bool CloseUnusedConnection();
   void ScheduleTick();
   void OnTick();
   void CheckPeer(Peer& peer);
@@ -100,6 +109,7 @@
   RandomSource& m_random;
   Handler m_handler;
   Counters m_counters;
+  MemoryBudget m_budget;
   std::string m_address;
   UniqueFd m_listener;
   std::map<NodeId, std::unique_ptr<Peer>> m_peers;
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -2,10 +2,13 @@
 
 #include <microhttpd.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cctype>
+#include <cstdint>
 #include <cstring>
+#include <optional>
 #include <utility>
 
 #include "source/net/json_response.h"
@@ -18,6 +21,16 @@
 // Headers of one request; the body has its own limit.
 constexpr size_t kConnectionMemory = 32 * 1024;
 
+// Connections beyond the limit that the library still accepts, so that waiting
+// ones can be closed in their favour.
+constexpr unsigned kExcessConnections = 64;
+
+// First allocation for a body; it doubles until the body fits.
+constexpr size_t kMinBodyCapacity = 4 * 1024;
+
+// When a client that was refused for lack of memory may return.
+constexpr const char* kRetryAfterSeconds = "1";
+
 std::string ToLower(std::string_view text) {
   std::string lower(text);
   std::transform(lower.begin(), lower.end(), lower.begin(),
@@ -48,9 +61,13 @@
 }  // namespace
 
 /// One request, from its first line to the end of its response.
-class HttpServer::Call {
+class HttpServer::Call : public MemoryBudget::Holder {
  public:
+  explicit Call(HttpServer& owner)
+      : server(&owner), charge(owner.m_budget, *this) {}
+
   HttpServer* server = nullptr;
+  MemoryBudget::Charge charge;
   MHD_Connection* connection = nullptr;
   HttpRequest request;
   /// Path prefix of the route that handles the request.
@@ -59,6 +76,31 @@
   bool is_dispatched = false;
   bool is_answered = false;
   bool is_suspended = false;
+  /// Whether the connection closes without a response.
+  bool is_aborted = false;
+
+  void AbortReception() override {
+    is_aborted = true;
+    request.body = std::string();
+    // The library then reads the end of the connection and closes it.
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    ::shutdown(info->connect_fd, SHUT_RDWR);
+  }
+
+  /// The library notices this only when the connection times out.
+  bool HasClientClosed() const override {
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    char byte = 0;
+    return ::recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+
+  ConnectionNumber connection_number() const {
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    return reinterpret_cast<uintptr_t>(info->socket_context);
+  }
 
   MHD_Result Queue() {
     MHD_Response* reply = MHD_create_response_from_buffer(
@@ -96,8 +138,10 @@
     if (*data_size > 0) {
       AddBody(server, call, {data, *data_size});
       *data_size = 0;
-      return MHD_YES;
+      return call.is_aborted ? MHD_NO : MHD_YES;
     }
+    if (call.is_aborted)
+      return MHD_NO;
     if (call.is_answered)
       return call.Queue();
     if (!call.is_dispatched && server.m_is_stopping) {
@@ -105,6 +149,8 @@
       call.response = MakeStoppedResponse(call);
     } else if (!call.is_dispatched) {
       call.is_dispatched = true;
+      call.charge.OnComplete();
+      server.m_connections.SetBusy(call.connection_number());
       server.Dispatch(*Find(server, &call));
     }
     if (call.is_answered)
@@ -124,11 +170,34 @@
     if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
       server.m_counters.Add("http_aborted_requests");
     const auto it = Find(server, static_cast<Call*>(*state));
-    if (it != server.m_calls.end())
+    if (it != server.m_calls.end()) {
+      if ((*it)->connection) {
+        server.m_connections.SetWaiting((*it)->connection_number(),
+                                        server.m_loop.clock().Now());
+      }
       server.m_calls.erase(it);
+    }
     *state = nullptr;
   }
 
+  /// Called when a connection begins and when it ends.
+  static void OnConnection(void* user,
+                           MHD_Connection* connection,
+                           void** state,
+                           MHD_ConnectionNotificationCode code) {
+    auto& server = *static_cast<HttpServer*>(user);
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+      server.m_connections.Remove(reinterpret_cast<uintptr_t>(*state));
+      return;
+    }
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    const ConnectionNumber number =
+        server.m_connections.Add(info->connect_fd, server.m_loop.clock().Now());
+    *state = reinterpret_cast<void*>(static_cast<uintptr_t>(number));
+    server.CloseExcessConnections();
+  }
+
   static std::unordered_set<std::shared_ptr<Call>>::iterator Find(
       HttpServer& server,
       Call* call) {
@@ -141,8 +210,7 @@
   static void* OnTarget(void* user, const char* target, MHD_Connection*) {
     auto& server = *static_cast<HttpServer*>(user);
     server.m_counters.Add("http_requests");
-    auto call = std::make_shared<Call>();
-    call->server = &server;
+    auto call = std::make_shared<Call>(server);
     call->request.target = target;
     server.m_calls.insert(call);
     return call.get();
@@ -161,25 +229,52 @@
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
                               &CollectArgument, &call.request.query);
     const std::string length(call.request.Header("content-length"));
-    if (std::strtoull(length.c_str(), nullptr, 10) <=
-        server.m_options.max_body_bytes) {
+    const uint64_t announced = std::strtoull(length.c_str(), nullptr, 10);
+    const bool is_oversized = announced > server.m_options.max_body_bytes;
+    if (!is_oversized &&
+        server.m_budget.MakeRoom(announced, server.m_loop.clock().Now())) {
       return MHD_YES;
     }
     // Responds before the body is read; the connection closes afterwards.
-    RefuseBody(server, call);
+    if (is_oversized)
+      RefuseBody(server, call);
+    else
+      RefuseForMemory(call);
     return call.Queue();
   }
 
   static void AddBody(HttpServer& server, Call& call, std::string_view data) {
-    if (call.is_answered)
+    if (call.is_answered || call.is_aborted)
       return;
-    if (call.request.body.size() + data.size() >
-        server.m_options.max_body_bytes) {
-      call.request.body = {};
+    std::string& body = call.request.body;
+    const size_t size = body.size() + data.size();
+    if (size > server.m_options.max_body_bytes) {
+      // The rest of the body is discarded; it still has to end in time.
+      body = std::string();
+      call.charge.Subtract(call.charge.bytes() - 1,
+                           server.m_loop.clock().Now());
       RefuseBody(server, call);
       return;
     }
-    call.request.body.append(data);
+    if (size > body.capacity() && !Grow(server, call, size)) {
+      call.AbortReception();
+      call.charge.Release();
+      return;
+    }
+    body.append(data);
+  }
+
+  /// Makes room for a body of this size, within the memory budget.
+  static bool Grow(HttpServer& server, Call& call, size_t size) {
+    std::string& body = call.request.body;
+    const size_t capacity =
+        std::max({size, 2 * body.capacity(), kMinBodyCapacity});
+    if (!call.charge.Add(capacity - call.charge.bytes(),
+                         server.m_loop.clock().Now())) {
+      return false;
+    }
+    body.reserve(capacity);
+    return true;
   }
 
   /// Returns the response to a request that the process does not finish. The
@@ -197,6 +292,15 @@
               "send the request to another process"});
   }
 
+  static void RefuseForMemory(Call& call) {
+    call.is_answered = true;
+    call.response = MakeErrorResponse(
+        503, {ErrorKind::kResourceExhausted,
+              "the process has no memory for another large request",
+              "send the request again later, or to another process"});
+    call.response.headers.emplace_back("Retry-After", kRetryAfterSeconds);
+  }
+
   static void RefuseBody(HttpServer& server, Call& call) {
     server.m_counters.Add("http_oversized_bodies");
     call.is_answered = true;
@@ -252,7 +356,9 @@
 }
 
 HttpServer::HttpServer(EventLoop& loop, HttpServerOptions options)
-    : m_loop(loop), m_options(std::move(options)) {}
+    : m_loop(loop),
+      m_options(std::move(options)),
+      m_budget(m_options.budget ? *m_options.budget : m_own_budget) {}
 
 HttpServer::~HttpServer() {
   Stop();
@@ -280,8 +386,11 @@
       &Callbacks::OnAccess, this, MHD_OPTION_LISTEN_SOCKET, m_listener.get(),
       MHD_OPTION_NOTIFY_COMPLETED, &Callbacks::OnCompleted, this,
       MHD_OPTION_URI_LOG_CALLBACK, &Callbacks::OnTarget, this,
-      MHD_OPTION_CONNECTION_LIMIT, m_options.max_connections,
-      MHD_OPTION_CONNECTION_TIMEOUT, m_options.idle_timeout_seconds,
+      MHD_OPTION_NOTIFY_CONNECTION, &Callbacks::OnConnection, this,
+      MHD_OPTION_CONNECTION_LIMIT,
+      m_options.max_connections + kExcessConnections,
+      MHD_OPTION_CONNECTION_TIMEOUT,
+      static_cast<unsigned>(m_options.idle_timeout.count() / 1'000),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemory, MHD_OPTION_END);
   if (!m_daemon) {
     m_listener.Reset();
@@ -320,6 +429,15 @@
   m_calls.clear();
 }
 
+void HttpServer::CloseExcessConnections() {
+  if (m_connections.size() <= m_options.max_connections)
+    return;
+  if (const std::optional<int> fd = m_connections.TakeLongestWaiting()) {
+    m_counters.Add("http_excess_connections");
+    ::shutdown(*fd, SHUT_RDWR);
+  }
+}
+
 void HttpServer::Dispatch(const std::shared_ptr<Call>& call) {
   bool is_path_known = false;
   for (const RouteEntry& route : m_routes) {
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -12,8 +12,10 @@
 #include "source/base/counters.h"
 #include "source/base/decision_log.h"
 #include "source/base/error.h"
+#include "source/net/connection_table.h"
 #include "source/net/event_loop.h"
 #include "source/net/http_message.h"
+#include "source/net/memory_budget.h"
 #include "source/net/unique_fd.h"
 
 struct MHD_Daemon;
@@ -26,8 +28,13 @@
   std::string address;
   /// Requests with larger bodies get the response 413.
   size_t max_body_bytes = size_t{3} << 20;
+  /// When there are more, the one that has waited longest for a complete
+  /// request is closed.
   unsigned max_connections = 4096;
-  unsigned idle_timeout_seconds = 120;
+  Millis idle_timeout{120'000};
+  /// Memory for requests, shared with other servers; if null, the server has a
+  /// budget of its own. Outlives the server.
+  MemoryBudget* budget = nullptr;
   /// Log of requests that fail unexpectedly. If set, it outlives the server.
   DecisionLog* decisions = nullptr;
 };
@@ -84,6 +91,7 @@
 
   /// Number of requests that are not completed yet.
   size_t open_calls() const { return m_calls.size(); }
+  size_t open_connections() const { return m_connections.size(); }
 
   Counters& counters() { return m_counters; }
 
@@ -95,6 +103,8 @@
     Handler handler;
   };
 
+  /// Closes waiting connections beyond the limit.
+  void CloseExcessConnections();
   void OnHandlerFailure(const Call& call, const std::string& reason);
   void Dispatch(const std::shared_ptr<Call>& call);
   void ScheduleRun();
@@ -107,6 +117,9 @@
   int m_epoll_fd = -1;
   UniqueFd m_listener;
   std::string m_address;
+  MemoryBudget m_own_budget{MemoryBudgetOptions()};
+  MemoryBudget& m_budget;
+  ConnectionTable m_connections;
   std::unordered_set<std::shared_ptr<Call>> m_calls;
   Counters m_counters;
   bool m_is_run_scheduled = false;
--- a/tests/net/http2_transport_test.cc
+++ b/tests/net/http2_transport_test.cc
@@ -84,7 +84,8 @@
     m_thread.RunAndWait([&] {
       m_connection.emplace(m_thread.loop(), Http2Connection::Side::kClient,
                            std::move(*ConnectTcp(address)),
-                           static_cast<Http2Connection::Listener&>(*this));
+                           static_cast<Http2Connection::Listener&>(*this),
+                           m_budget);
     });
   }
   ~RawSender() override {
@@ -110,6 +111,7 @@
     closed.Put(error);
   }
 
+  MemoryBudget m_budget{MemoryBudgetOptions()};
   LoopThread m_thread;
   std::optional<Http2Connection> m_connection;
 };
