Evacuation: Add the operators' commands, tests and the review's corrections

fulmarrock evacuate start, finish and list; POST and GET below /v1/data-centres; the state dump, counters and a log line per second. Grants of single-step jobs obey the table.

Limits on clients: responses are charged until they are read, an announced size aborts nobody, a connection that is closed for a new one runs no request any more, and retired connections are destroyed with the transport, whose memory budget they use.

--- a/source/control/commands.h
+++ b/source/control/commands.h
@@ -190,8 +190,8 @@
   std::vector<ClaimCommand> claims;
   std::vector<ClaimOutcomeCommand> claim_outcomes;
   WorkflowBatch workflow;
-  /// Applied before `workflow`, so that no assignment of this entry goes to a
-  /// data centre that it evacuates.
+  /// Applied first, so that no run of this entry starts in a data centre that
+  /// it evacuates.
   std::vector<EvacuationCommand> evacuations;
 
   template <typename Self, typename Visitor>
--- a/source/control/control_dump.cc
+++ b/source/control/control_dump.cc
@@ -49,6 +49,11 @@
     dump["workers"].push_back(DumpWorker(worker));
   for (const ProcessVersion& process : status.processes)
     dump["processes"][process.node] = process.version;
+  for (const auto& [name, entry] : m_state.evacuations().entries()) {
+    dump["evacuations"][name] = {
+        {"is_evacuated", entry.is_evacuated},
+        {"for_ms", (m_state.time() - entry.changed_at).count()}};
+  }
   if (m_is_leader) {
     dump["scheduler"] = nlohmann::json::parse(m_scheduler.DumpState(), nullptr,
                                               /*allow_exceptions=*/false);
--- a/source/control/control_role.cc
+++ b/source/control/control_role.cc
@@ -40,10 +40,7 @@
                   transport,
                   random,
                   m_counters),
-      m_evacuations(m_state.evacuations(),
-                    m_state.workflows(),
-                    random,
-                    m_counters) {}
+      m_evacuations(m_state, random, m_counters) {}
 
 void ControlRole::ConfigureWorkflows(const WorkflowOptions& options,
                                      const WallClock& wall_clock,
@@ -148,6 +145,7 @@
   const int64_t unix_ms = m_wall_clock ? m_wall_clock->NowUnixMs() : 0;
   m_workflows.OnTick({now, now + m_time_offset, unix_ms},
                      m_next_batch.workflow);
+  m_evacuations.OnTick(now, now + m_time_offset);
   CompleteMemberWaiters();
   RequestReports();
   for (const LeaseEvent& event : m_leases.Scan(now))
--- a/source/control/control_state.cc
+++ b/source/control/control_state.cc
@@ -41,6 +41,9 @@
   m_jobs.Prune(m_time);
   m_operations.Prune(m_time);
   m_claims.Prune(m_time);
+  m_evacuations.Prune(m_time);
+  for (const auto& command : batch.evacuations)
+    Evacuate(command, effects);
   for (const auto& command : batch.configurations)
     ApplyConfiguration(command, effects);
   for (const auto& command : batch.submissions)
@@ -70,8 +73,6 @@
     effects.claim_outcomes.emplace_back(command.entry,
                                         ClaimOutcomeAck{command.outcome.id});
   }
-  for (const auto& command : batch.evacuations)
-    Evacuate(command, effects);
   ApplyWorkflows(batch.workflow, effects);
   return effects;
 }
@@ -374,7 +375,8 @@
   if (!task || !worker || task->state != TaskState::kPending)
     return false;
   if (command.epoch != Epoch{task->epoch} + 1 ||
-      command.incarnation != worker->incarnation || worker->IsDraining())
+      command.incarnation != worker->incarnation || worker->IsDraining() ||
+      m_evacuations.IsEvacuated(worker->data_centre))
     return false;
   const JobRecord* job = m_jobs.Find(command.task.job);
   return (worker->used + job->spec.resources).FitsIn(worker->capacity);
--- a/source/control/evacuation_service.cc
+++ b/source/control/evacuation_service.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr size_t kMaxNameBytes = 64;
+constexpr Millis kLogInterval{1'000};
 
 bool IsNameCharacter(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
@@ -67,13 +68,11 @@
 
 bool EvacuationService::IsKnown(const std::string& data_centre) const {
   const std::vector<std::string>& names = m_options.data_centres;
-  if (names.empty() || m_table.Find(data_centre) ||
-      std::find(names.begin(), names.end(), data_centre) != names.end()) {
+  if (names.empty())
     return true;
-  }
-  const auto& workers = m_workflows.workers();
-  return std::any_of(workers.begin(), workers.end(), [&](const auto& item) {
-    return item.second.attributes.data_centre == data_centre;
+  const std::vector<DataCentreView> views = List(m_state.time());
+  return std::any_of(views.begin(), views.end(), [&](const auto& view) {
+    return view.name == data_centre;
   });
 }
 
@@ -110,6 +109,25 @@
   }
 }
 
+void EvacuationService::OnTick(Millis now, Millis replicated) {
+  if (now < m_next_log)
+    return;
+  m_next_log = now + kLogInterval;
+  if (m_state.evacuations().entries().empty())
+    return;
+  for (const DataCentreView& view : List(replicated)) {
+    if (!view.is_evacuated)
+      continue;
+    m_decisions->Write(
+        DecisionLine("evacuation_load")
+            .With("data_centre", view.name)
+            .With("evacuated_ms", view.evacuated_for)
+            .With("tasks", int64_t{view.active_tasks})
+            .With("long_running", int64_t{view.active_long_running})
+            .With("best_effort", int64_t{view.active_best_effort}));
+  }
+}
+
 void EvacuationService::OnLeadershipLost() {
   for (auto& [token, done] : std::exchange(m_waiting, {})) {
     done(MakeError(
@@ -123,21 +141,30 @@
   std::map<std::string, DataCentreView> views;
   for (const std::string& name : m_options.data_centres)
     views[name].name = name;
-  for (const auto& [name, entry] : m_table.entries()) {
+  for (const auto& [name, entry] : m_state.evacuations().entries()) {
     views[name].is_evacuated = entry.is_evacuated;
     if (entry.is_evacuated)
       views[name].evacuated_for = now - entry.changed_at;
   }
-  for (const auto& [number, worker] : m_workflows.workers()) {
+  for (const auto& [number, worker] : m_state.workflows().workers()) {
     DataCentreView& view = views[worker.attributes.data_centre];
     ++view.workers;
-    for (const TaskName& task : m_workflows.RunsOf(number)) {
-      const StepSpec& step = *m_workflows.FindStep(task);
+    for (const TaskName& task : m_state.workflows().RunsOf(number)) {
+      const StepSpec& step = *m_state.workflows().FindStep(task);
       ++view.active_tasks;
       view.active_long_running += step.is_long_running ? 1 : 0;
       view.active_best_effort += step.is_best_effort ? 1 : 0;
     }
   }
+  for (WorkerIndex i = 0; i < m_state.workers().index_count(); ++i) {
+    const WorkerRecord* worker = m_state.workers().Get(i);
+    if (!worker)
+      continue;
+    DataCentreView& view = views[worker->data_centre];
+    ++view.workers;
+    view.active_tasks +=
+        static_cast<uint32_t>(worker->tasks.size() + worker->orphans.size());
+  }
   std::vector<DataCentreView> list;
   for (auto& [name, view] : views) {
     view.name = name;
--- a/source/control/evacuation_service.h
+++ b/source/control/evacuation_service.h
@@ -32,14 +32,10 @@
   using Done = OperatorService::Done<bool>;
 
   /// The referenced objects must outlive the service.
-  EvacuationService(const EvacuationTable& table,
-                    const WorkflowState& workflows,
+  EvacuationService(const ControlState& state,
                     RandomSource& random,
                     Counters& counters)
-      : m_table(table),
-        m_workflows(workflows),
-        m_random(random),
-        m_counters(counters) {}
+      : m_state(state), m_random(random), m_counters(counters) {}
 
   /// Replaces the default options and the decision log that discards
   /// everything.
@@ -51,6 +47,10 @@
               std::vector<EvacuationCommand>& next,
               Done done);
 
+  /// Logs what runs in evacuated data centres, once a second. `replicated` is
+  /// replicated time.
+  void OnTick(Millis now, Millis replicated);
+
   void OnEffects(const std::vector<EvacuationEffect>& effects);
   void OnLeadershipLost();
 
@@ -64,14 +64,14 @@
   Result<void> Validate(const EvacuationRequest& request) const;
   bool IsKnown(const std::string& data_centre) const;
 
-  const EvacuationTable& m_table;
-  const WorkflowState& m_workflows;
+  const ControlState& m_state;
   RandomSource& m_random;
   Counters& m_counters;
   EvacuationOptions m_options;
   NullDecisionLog m_no_log;
   DecisionLog* m_decisions = &m_no_log;
   std::map<uint64_t, Done> m_waiting;
+  Millis m_next_log;
 };
 
 }  // namespace fulmarrock
--- a/source/control/operator_service.h
+++ b/source/control/operator_service.h
@@ -174,8 +174,8 @@
   /// member cannot know which version is the newest.
   virtual Result<QueueConfiguration> GetQueueConfiguration() const = 0;
 
-  /// Evacuates a data centre or ends its evacuation; `done` is called when the
-  /// request is committed, also if it changes nothing. Fails with
+  /// Evacuates a data centre or finishes its evacuation; `done` is called when
+  /// the request is committed, also if it changes nothing. Fails with
   /// kInvalidArgument for a malformed name, kNotFound for an unknown data
   /// centre, kNotLeader, or kUnavailable when the request should be repeated.
   virtual void SetEvacuation(EvacuationRequest request, Done<bool> done) = 0;
--- a/source/control/task_dispatcher.cc
+++ b/source/control/task_dispatcher.cc
@@ -89,6 +89,16 @@
     if (effect.kind != WorkerEffect::Kind::kRemoved)
       OnWorkerEffect(effect, now);
   }
+  const bool has_evacuation_change =
+      std::any_of(effects.evacuations.begin(), effects.evacuations.end(),
+                  [](const EvacuationEffect& effect) {
+                    return effect.outcome == EvacuationOutcome::kChanged;
+                  });
+  if (has_evacuation_change) {
+    for (WorkerIndex i = 0; i < m_state.workers().index_count(); ++i)
+      UpdateWorker(i);
+    m_should_retry_unplaceable = true;
+  }
   for (const TaskEffect& effect : effects.tasks)
     OnTaskEffect(effect, now);
   for (const WorkerEffect& effect : effects.workers) {
@@ -106,7 +116,8 @@
   info.data_centre = record->data_centre;
   info.rack = record->rack;
   info.capacity = record->capacity;
-  info.accepts_tasks = !record->IsDraining() && m_leases.IsAvailable(worker);
+  info.accepts_tasks = !record->IsDraining() && m_leases.IsAvailable(worker) &&
+                       !m_state.evacuations().IsEvacuated(record->data_centre);
   m_scheduler.UpsertWorker(info);
 }
 
--- a/source/entry/workflow_gateway.cc
+++ b/source/entry/workflow_gateway.cc
@@ -32,7 +32,7 @@
 constexpr size_t kMaxPending = 4'000;
 /// Memory of all pending calls. One submission may have a thousand steps, each
 /// many times larger than its text.
-constexpr size_t kMaxPendingBytes = size_t{16} << 20;
+constexpr size_t kMaxPendingBytes = size_t{32} << 20;
 
 size_t EstimateBytes(const WorkflowCall& call) {
   size_t bytes = sizeof(WorkflowCall) + call.host.size() + call.path.size() +
--- a/source/net/connection_table.cc
+++ b/source/net/connection_table.cc
@@ -4,7 +4,7 @@
 
 ConnectionNumber ConnectionTable::Add(int fd, Millis now) {
   const ConnectionNumber number = ++m_last_number;
-  m_connections[number] = {fd, now};
+  m_connections[number] = {fd, now, false};
   m_waiting.emplace(now, number);
   return number;
 }
@@ -25,7 +25,7 @@
 
 void ConnectionTable::SetWaiting(ConnectionNumber number, Millis now) {
   const auto it = m_connections.find(number);
-  if (it == m_connections.end())
+  if (it == m_connections.end() || it->second.is_closing)
     return;
   m_waiting.erase({it->second.waiting_since, number});
   it->second.waiting_since = now;
@@ -37,7 +37,14 @@
     return std::nullopt;
   const ConnectionNumber number = m_waiting.begin()->second;
   m_waiting.erase(m_waiting.begin());
-  return m_connections.at(number).fd;
+  Connection& connection = m_connections.at(number);
+  connection.is_closing = true;
+  return connection.fd;
+}
+
+bool ConnectionTable::IsClosing(ConnectionNumber number) const {
+  const auto it = m_connections.find(number);
+  return it != m_connections.end() && it->second.is_closing;
 }
 
 }  // namespace fulmarrock
--- a/source/net/connection_table.h
+++ b/source/net/connection_table.h
@@ -28,15 +28,19 @@
   void SetWaiting(ConnectionNumber number, Millis now);
 
   /// Returns the descriptor of the connection that has waited longest for a
-  /// complete request, and does not return it again. Nothing if all are busy.
+  /// complete request, which the caller closes. Nothing if all are busy.
   std::optional<int> TakeLongestWaiting();
 
+  /// Whether a connection was returned by TakeLongestWaiting().
+  bool IsClosing(ConnectionNumber number) const;
+
   size_t size() const { return m_connections.size(); }
 
  private:
   struct Connection {
     int fd = -1;
     Millis waiting_since;
+    bool is_closing = false;
   };
 
   ConnectionNumber m_last_number = 0;
--- a/source/net/http2_transport.cc
+++ b/source/net/http2_transport.cc
@@ -410,8 +410,13 @@
   connection->CloseSilently();
   // This may be called from within the connection's own functions, so the
   // connection is destroyed later.
-  m_loop.Post([retired = std::shared_ptr<Http2Connection>(
-                   std::move(connection))]() mutable { retired.reset(); });
+  m_retired.push_back(std::move(connection));
+  if (m_retired.size() > 1)
+    return;
+  m_loop.Post([this, lifetime = std::weak_ptr<int>(m_lifetime_token)] {
+    if (!lifetime.expired())
+      m_retired.clear();
+  });
 }
 
 void Http2Transport::CountError(const Error& error) {
--- a/source/net/http2_transport.h
+++ b/source/net/http2_transport.h
@@ -116,6 +116,8 @@
   std::map<Http2Connection*, std::unique_ptr<Http2Connection>> m_incoming;
   std::unordered_map<Http2Connection*, Peer*> m_owners;
   std::vector<Peer*> m_scheduled_peers;
+  // Closed connections; destroyed by a posted function.
+  std::vector<std::unique_ptr<Http2Connection>> m_retired;
   EventLoop::TimerId m_tick_timer = 0;
   EventLoop::TimerId m_accept_timer = 0;
   Error m_last_error;
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -21,9 +21,10 @@
 // Headers of one request; the body has its own limit.
 constexpr size_t kConnectionMemory = 32 * 1024;
 
-// Connections beyond the limit that the library still accepts, so that waiting
-// ones can be closed in their favour.
-constexpr unsigned kExcessConnections = 64;
+// Connections beyond the limit that the library still accepts. It closes a
+// waiting one in the next round only, and with two of them it refused new ones.
+constexpr unsigned kMinExcessConnections = 16;
+constexpr unsigned kMaxExcessConnections = 64;
 
 // First allocation for a body; it doubles until the body fits.
 constexpr size_t kMinBodyCapacity = 4 * 1024;
@@ -58,6 +59,12 @@
   return MHD_YES;
 }
 
+ConnectionNumber NumberOf(MHD_Connection* connection) {
+  const auto* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  return reinterpret_cast<uintptr_t>(info->socket_context);
+}
+
 }  // namespace
 
 /// One request, from its first line to the end of its response.
@@ -76,6 +83,8 @@
   bool is_dispatched = false;
   bool is_answered = false;
   bool is_suspended = false;
+  /// Whether the library has the response.
+  bool is_queued = false;
   /// Whether the connection closes without a response.
   bool is_aborted = false;
 
@@ -88,21 +97,26 @@
     ::shutdown(info->connect_fd, SHUT_RDWR);
   }
 
-  /// The library notices this only when the connection times out.
+  /// The library notices this only when the connection times out. A client may
+  /// close its side and still read the response.
   bool HasClientClosed() const override {
+    if (is_queued)
+      return false;
     const auto* info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     char byte = 0;
     return ::recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
   }
 
-  ConnectionNumber connection_number() const {
-    const auto* info =
-        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
-    return reinterpret_cast<uintptr_t>(info->socket_context);
-  }
+  ConnectionNumber connection_number() const { return NumberOf(connection); }
 
+  /// Passes the response to the library. Its bytes are charged until the client
+  /// has read them; without memory for them the connection closes.
   MHD_Result Queue() {
+    is_queued = true;
+    charge.Release();
+    if (!charge.Add(response.body.size(), server->m_loop.clock().Now()))
+      return MHD_NO;
     MHD_Response* reply = MHD_create_response_from_buffer(
         response.body.size(), response.body.data(), MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(reply, MHD_HTTP_HEADER_CONTENT_TYPE,
@@ -117,6 +131,7 @@
     const MHD_Result result = MHD_queue_response(
         connection, static_cast<unsigned>(response.status), reply);
     MHD_destroy_response(reply);
+    response.body = std::string();
     return result;
   }
 };
@@ -140,8 +155,10 @@
       *data_size = 0;
       return call.is_aborted ? MHD_NO : MHD_YES;
     }
-    if (call.is_aborted)
+    if (call.is_aborted ||
+        server.m_connections.IsClosing(call.connection_number())) {
       return MHD_NO;
+    }
     if (call.is_answered)
       return call.Queue();
     if (!call.is_dispatched && server.m_is_stopping) {
@@ -207,8 +224,12 @@
   }
 
   /// Called for the first line of a request; returns its state.
-  static void* OnTarget(void* user, const char* target, MHD_Connection*) {
+  static void* OnTarget(void* user,
+                        const char* target,
+                        MHD_Connection* connection) {
     auto& server = *static_cast<HttpServer*>(user);
+    server.m_connections.SetWaiting(NumberOf(connection),
+                                    server.m_loop.clock().Now());
     server.m_counters.Add("http_requests");
     auto call = std::make_shared<Call>(server);
     call->request.target = target;
@@ -232,7 +253,7 @@
     const uint64_t announced = std::strtoull(length.c_str(), nullptr, 10);
     const bool is_oversized = announced > server.m_options.max_body_bytes;
     if (!is_oversized &&
-        server.m_budget.MakeRoom(announced, server.m_loop.clock().Now())) {
+        server.m_budget.CanFit(announced, server.m_loop.clock().Now())) {
       return MHD_YES;
     }
     // Responds before the body is read; the connection closes afterwards.
@@ -251,8 +272,8 @@
     if (size > server.m_options.max_body_bytes) {
       // The rest of the body is discarded; it still has to end in time.
       body = std::string();
-      call.charge.Subtract(call.charge.bytes() - 1,
-                           server.m_loop.clock().Now());
+      call.charge.Release();
+      call.charge.Add(1, server.m_loop.clock().Now());
       RefuseBody(server, call);
       return;
     }
@@ -331,6 +352,11 @@
   call->server->ScheduleRun();
 }
 
+bool HttpServer::Responder::HasClientClosed() const {
+  const std::shared_ptr<Call> call = m_call.lock();
+  return !call || call->HasClientClosed();
+}
+
 void HttpServer::Responder::Fail(std::string reason) const {
   if (!m_loop->IsOnLoopThread()) {
     m_loop->Post(
@@ -388,7 +414,9 @@
       MHD_OPTION_URI_LOG_CALLBACK, &Callbacks::OnTarget, this,
       MHD_OPTION_NOTIFY_CONNECTION, &Callbacks::OnConnection, this,
       MHD_OPTION_CONNECTION_LIMIT,
-      m_options.max_connections + kExcessConnections,
+      m_options.max_connections + std::clamp(m_options.max_connections / 8,
+                                             kMinExcessConnections,
+                                             kMaxExcessConnections),
       MHD_OPTION_CONNECTION_TIMEOUT,
       static_cast<unsigned>(m_options.idle_timeout.count() / 1'000),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemory, MHD_OPTION_END);
--- a/source/net/http_server.h
+++ b/source/net/http_server.h
@@ -54,6 +54,10 @@
         : m_loop(&loop), m_call(std::move(call)) {}
     void Respond(HttpResponse response) const;
 
+    /// Whether the client has closed its side of the connection. Only on the
+    /// loop's thread.
+    bool HasClientClosed() const;
+
     /// Logs that the handling of the request failed unexpectedly, and responds
     /// with status 500, which leaves open whether the request took effect.
     void Fail(std::string reason) const;
--- a/source/net/memory_budget.cc
+++ b/source/net/memory_budget.cc
@@ -8,7 +8,7 @@
 bool MemoryBudget::Charge::Add(size_t bytes, Millis now) {
   const size_t counted =
       m_budget.CountedBytes(m_bytes + bytes) - m_budget.CountedBytes(m_bytes);
-  if (!m_budget.Free(counted, this, now)) {
+  if (!m_budget.AbortUntilFits(counted, this, now)) {
     m_budget.m_counters.Add("requests_refused_for_memory");
     return false;
   }
@@ -46,14 +46,24 @@
   m_bytes = 0;
 }
 
-bool MemoryBudget::MakeRoom(size_t bytes, Millis now) {
-  const bool has_room = Free(CountedBytes(bytes), nullptr, now);
-  if (!has_room)
+bool MemoryBudget::CanFit(size_t bytes, Millis now) {
+  const size_t counted = CountedBytes(bytes);
+  size_t held = m_used;
+  for (const auto& [number, charge] : m_receptions) {
+    if (held + counted <= m_options.limit ||
+        now - charge->m_since < m_options.min_age)
+      break;
+    held -= CountedBytes(charge->m_bytes);
+  }
+  const bool can_fit = held + counted <= m_options.limit;
+  if (!can_fit)
     m_counters.Add("requests_refused_for_memory");
-  return has_room;
+  return can_fit;
 }
 
-bool MemoryBudget::Free(size_t bytes, const Charge* except, Millis now) {
+bool MemoryBudget::AbortUntilFits(size_t bytes,
+                                  const Charge* except,
+                                  Millis now) {
   if (bytes > m_options.limit)
     return false;
   while (m_used > m_options.limit - bytes) {
--- a/source/net/memory_budget.h
+++ b/source/net/memory_budget.h
@@ -84,9 +84,9 @@
   MemoryBudget(const MemoryBudget&) = delete;
   MemoryBudget& operator=(const MemoryBudget&) = delete;
 
-  /// Whether a new holder may expect to hold so many bytes. Aborts receptions
-  /// to make room for them.
-  bool MakeRoom(size_t bytes, Millis now);
+  /// Whether a new holder may hold so many bytes now, if receptions are aborted
+  /// in its favour. Aborts none: their sender may have announced them only.
+  bool CanFit(size_t bytes, Millis now);
 
   /// Aborts receptions that began more than `timeout` ago.
   void AbortOlderThan(Millis timeout, Millis now);
@@ -106,7 +106,7 @@
     return bytes > m_options.free_bytes ? bytes - m_options.free_bytes : 0;
   }
   /// Aborts receptions, the oldest first, until `bytes` more fit.
-  bool Free(size_t bytes, const Charge* except, Millis now);
+  bool AbortUntilFits(size_t bytes, const Charge* except, Millis now);
   void Abort(Charge& charge);
 
   const MemoryBudgetOptions m_options;
--- a/source/net/operator_front_end.cc
+++ b/source/net/operator_front_end.cc
@@ -19,6 +19,8 @@
 constexpr std::string_view kJobPrefix = "/v1/jobs/";
 constexpr std::string_view kWorkerPrefix = "/v1/workers/";
 constexpr std::string_view kDrainSuffix = "/drain";
+constexpr std::string_view kDataCentrePrefix = "/v1/data-centres/";
+constexpr std::string_view kEvacuationSuffix = "/evacuation";
 constexpr std::string_view kMemberPrefix = "/v1/members/";
 
 HttpResponse MakeResponse(const json& value, int status = 200) {
@@ -57,6 +59,8 @@
   route("GET", kJobPrefix, &OperatorFrontEnd::Show);
   route("POST", "/v1/jobs/cancel", &OperatorFrontEnd::Cancel);
   route("POST", kWorkerPrefix, &OperatorFrontEnd::Drain);
+  route("POST", kDataCentrePrefix, &OperatorFrontEnd::SetEvacuation);
+  route("GET", "/v1/data-centres", &OperatorFrontEnd::ListDataCentres);
   route("POST", "/v1/members", &OperatorFrontEnd::AddMember);
   route("DELETE", kMemberPrefix, &OperatorFrontEnd::RemoveMember);
 }
@@ -141,6 +145,36 @@
                               RespondWithField<bool>("done", responder));
 }
 
+void OperatorFrontEnd::SetEvacuation(const HttpRequest& request,
+                                     const Respond& responder) {
+  std::string_view data_centre =
+      std::string_view(request.path).substr(kDataCentrePrefix.size());
+  if (!data_centre.ends_with(kEvacuationSuffix)) {
+    return Fail({ErrorKind::kNotFound,
+                 "the path is not the evacuation of a data centre",
+                 "send POST /v1/data-centres/NAME/evacuation"},
+                responder);
+  }
+  data_centre.remove_suffix(kEvacuationSuffix.size());
+  const Result<bool> is_evacuated = ReadEvacuationRequest(request.body);
+  if (!is_evacuated)
+    return Fail(is_evacuated.error(), responder);
+  m_service.SetEvacuation({std::string(data_centre), *is_evacuated},
+                          RespondWithField<bool>("done", responder));
+}
+
+void OperatorFrontEnd::ListDataCentres(const HttpRequest&,
+                                       const Respond& responder) {
+  const Result<std::vector<DataCentreView>> data_centres =
+      m_service.ListDataCentres();
+  if (!data_centres)
+    return Fail(data_centres.error(), responder);
+  json list = json::array();
+  for (const DataCentreView& data_centre : *data_centres)
+    list.push_back(ToJson(data_centre));
+  responder.Respond(MakeResponse({{"data_centres", std::move(list)}}));
+}
+
 void OperatorFrontEnd::AddMember(const HttpRequest& request,
                                  const Respond& responder) {
   const Result<Member> member = ReadMemberRequest(request.body);
--- a/source/net/operator_front_end.h
+++ b/source/net/operator_front_end.h
@@ -37,6 +37,8 @@
   void GetStatus(const HttpRequest& request, const Respond& responder);
   void Show(const HttpRequest& request, const Respond& responder);
   void Drain(const HttpRequest& request, const Respond& responder);
+  void SetEvacuation(const HttpRequest& request, const Respond& responder);
+  void ListDataCentres(const HttpRequest& request, const Respond& responder);
   void AddMember(const HttpRequest& request, const Respond& responder);
   void RemoveMember(const HttpRequest& request, const Respond& responder);
 
--- a/source/net/operator_json.cc
+++ b/source/net/operator_json.cc
@@ -54,6 +54,20 @@
   return value;
 }
 
+/// Reads a body with one flag, which is set by default.
+Result<bool> ReadFlag(std::string_view body, const char* name) {
+  const Result<json> document = ParseJson(body);
+  if (!document)
+    return tl::make_unexpected(document.error());
+  FieldErrors errors;
+  JsonReader reader(*document, "", errors);
+  const bool is_set = reader.Boolean(name, true);
+  reader.Finish();
+  if (!errors.empty())
+    return errors.ToError();
+  return is_set;
+}
+
 }  // namespace
 
 Result<ApplyRequest> ReadApplyRequest(std::string_view body) {
@@ -129,16 +143,11 @@
 }
 
 Result<bool> ReadDrainRequest(std::string_view body) {
-  const Result<json> document = ParseJson(body);
-  if (!document)
-    return tl::make_unexpected(document.error());
-  FieldErrors errors;
-  JsonReader reader(*document, "", errors);
-  const bool is_draining = reader.Boolean("draining", true);
-  reader.Finish();
-  if (!errors.empty())
-    return errors.ToError();
-  return is_draining;
+  return ReadFlag(body, "draining");
+}
+
+Result<bool> ReadEvacuationRequest(std::string_view body) {
+  return ReadFlag(body, "evacuated");
 }
 
 Result<Member> ReadMemberRequest(std::string_view body) {
@@ -185,6 +194,16 @@
   return value;
 }
 
+json ToJson(const DataCentreView& data_centre) {
+  return {{"name", data_centre.name},
+          {"evacuated", data_centre.is_evacuated},
+          {"since_ms_ago", data_centre.evacuated_for.count()},
+          {"workers", data_centre.workers},
+          {"active_tasks", data_centre.active_tasks},
+          {"active_long_running", data_centre.active_long_running},
+          {"active_best_effort", data_centre.active_best_effort}};
+}
+
 json ToJson(const ClusterStatus& status) {
   json members = json::array();
   for (const Member& member : status.members) {
--- a/source/net/operator_json.h
+++ b/source/net/operator_json.h
@@ -16,11 +16,13 @@
 Result<SubmitRequest> ReadSubmitRequest(std::string_view body);
 Result<std::vector<JobId>> ReadCancelRequest(std::string_view body);
 Result<bool> ReadDrainRequest(std::string_view body);
+Result<bool> ReadEvacuationRequest(std::string_view body);
 Result<Member> ReadMemberRequest(std::string_view body);
 
 nlohmann::json ToJson(const ConfigSnapshot& snapshot);
 nlohmann::json ToJson(const JobView& job);
 nlohmann::json ToJson(const ClusterStatus& status);
+nlohmann::json ToJson(const DataCentreView& data_centre);
 
 }  // namespace fulmarrock
 
--- a/source/tool/command_line.cc
+++ b/source/tool/command_line.cc
@@ -14,6 +14,7 @@
 #include "source/tool/diff_command.h"
 #include "source/tool/drain_command.h"
 #include "source/tool/dump_command.h"
+#include "source/tool/evacuate_command.h"
 #include "source/tool/get_command.h"
 #include "source/tool/list_command.h"
 #include "source/tool/load_command.h"
@@ -73,6 +74,7 @@
   m_commands.push_back(std::make_unique<StatusCommand>());
   m_commands.push_back(std::make_unique<TargetsCommand>());
   m_commands.push_back(std::make_unique<DrainCommand>());
+  m_commands.push_back(std::make_unique<EvacuateCommand>());
   m_commands.push_back(std::make_unique<MemberCommand>());
   m_commands.push_back(std::make_unique<DumpCommand>());
   m_commands.push_back(std::make_unique<LoadCommand>());
--- a/source/workflow/evacuation_table.cc
+++ b/source/workflow/evacuation_table.cc
@@ -14,11 +14,10 @@
 
 EvacuationOutcome EvacuationTable::Apply(const EvacuationCommand& command,
                                          Millis now) {
-  Prune(now);
   EvacuationEntry& entry = m_entries[command.data_centre];
   entry.data_centre = command.data_centre;
   Millis& last_command_at =
-      command.is_evacuated ? entry.last_start_at : entry.last_end_at;
+      command.is_evacuated ? entry.last_start_at : entry.last_finish_at;
   const bool is_change = entry.is_evacuated != command.is_evacuated;
   const bool may_be_repeated = last_command_at != kNoCommand &&
                                now - last_command_at < command.resend_limit;
@@ -65,7 +64,7 @@
   std::erase_if(m_entries, [now](const auto& item) {
     const EvacuationEntry& entry = item.second;
     const Millis last_command_at =
-        std::max(entry.last_start_at, entry.last_end_at);
+        std::max(entry.last_start_at, entry.last_finish_at);
     return !entry.is_evacuated && now - last_command_at > kRetention;
   });
 }
--- a/source/workflow/evacuation_table.h
+++ b/source/workflow/evacuation_table.h
@@ -11,7 +11,7 @@
 
 namespace fulmarrock {
 
-/// Evacuates a data centre, or ends its evacuation. `token` identifies the
+/// Evacuates a data centre, or finishes its evacuation. `token` identifies the
 /// caller that waits for the result at the proposing member.
 struct EvacuationCommand {
   uint64_t token = 0;
@@ -43,12 +43,12 @@
   Millis changed_at;
   /// When a command of each kind was last accepted, repetitions included.
   Millis last_start_at = kNoCommand;
-  Millis last_end_at = kNoCommand;
+  Millis last_finish_at = kNoCommand;
 
   template <typename Self, typename Visitor>
   static void VisitFields(Self& self, Visitor& visitor) {
     visitor(self.data_centre, self.is_evacuated, self.changed_at,
-            self.last_start_at, self.last_end_at);
+            self.last_start_at, self.last_finish_at);
   }
 };
 
@@ -87,14 +87,14 @@
     return m_entries;
   }
 
-  Snapshot Save() const;
-  void Restore(Snapshot snapshot);
-
- private:
   /// Removes data centres that are not evacuated and had no command for
   /// long.
   void Prune(Millis now);
 
+  Snapshot Save() const;
+  void Restore(Snapshot snapshot);
+
+ private:
   uint64_t m_version = 0;
   std::map<std::string, EvacuationEntry, std::less<>> m_entries;
 };
--- a/tests/evacuation/evacuation_table_test.cc
+++ b/tests/evacuation/evacuation_table_test.cc
@@ -11,7 +11,7 @@
   return {0, std::move(data_centre), true, kResendLimit};
 }
 
-EvacuationCommand End(std::string data_centre) {
+EvacuationCommand Finish(std::string data_centre) {
   return {0, std::move(data_centre), false, kResendLimit};
 }
 
@@ -24,7 +24,7 @@
   CHECK(table.IsEvacuated("a"));
   CHECK(table.IsEvacuated("b"));
   CHECK_FALSE(table.IsEvacuated("c"));
-  CHECK(table.Apply(End("a"), Millis(20)) == EvacuationOutcome::kChanged);
+  CHECK(table.Apply(Finish("a"), Millis(20)) == EvacuationOutcome::kChanged);
   CHECK_FALSE(table.IsEvacuated("a"));
   CHECK(table.IsEvacuated("b"));
 }
@@ -41,33 +41,35 @@
   CHECK(table.version() == version);
 }
 
-TEST_CASE("an end without a start is accepted and changes nothing") {
+TEST_CASE("a finish without a start is accepted and changes nothing") {
   EvacuationTable table;
-  CHECK(table.Apply(End("a"), Millis(0)) == EvacuationOutcome::kUnchanged);
+  CHECK(table.Apply(Finish("a"), Millis(0)) == EvacuationOutcome::kUnchanged);
   CHECK(table.version() == 0);
 }
 
 // Guards against a late repetition of the start that evacuates the data centre
-// again after its end, with no operator who knows of it.
-TEST_CASE("a start that may repeat one before the end is deferred") {
+// again after its finish, with no operator who knows of it.
+TEST_CASE("a start that may repeat one before the finish is deferred") {
   EvacuationTable table;
   table.Apply(Start("a"), Millis(0));
-  table.Apply(End("a"), Millis(3'000));
+  table.Apply(Finish("a"), Millis(3'000));
   CHECK(table.Apply(Start("a"), Millis(4'999)) == EvacuationOutcome::kDeferred);
   CHECK_FALSE(table.IsEvacuated("a"));
   CHECK(table.Apply(Start("a"), Millis(5'000)) == EvacuationOutcome::kChanged);
 }
 
-// Guards against a late repetition of an end that lets runs start in a data
+// Guards against a late repetition of a finish that lets runs start in a data
 // centre which was evacuated again.
-TEST_CASE("an end that may repeat one before the start is deferred") {
+TEST_CASE("a finish that may repeat one before the start is deferred") {
   EvacuationTable table;
   table.Apply(Start("a"), Millis(0));
-  table.Apply(End("a"), Millis(10'000));
+  table.Apply(Finish("a"), Millis(10'000));
   table.Apply(Start("a"), Millis(12'000));
-  CHECK(table.Apply(End("a"), Millis(14'000)) == EvacuationOutcome::kDeferred);
+  CHECK(table.Apply(Finish("a"), Millis(14'000)) ==
+        EvacuationOutcome::kDeferred);
   CHECK(table.IsEvacuated("a"));
-  CHECK(table.Apply(End("a"), Millis(15'000)) == EvacuationOutcome::kChanged);
+  CHECK(table.Apply(Finish("a"), Millis(15'000)) ==
+        EvacuationOutcome::kChanged);
 }
 
 // Guards against a resend limit that counts from the first of several starts:
@@ -76,7 +78,7 @@
   EvacuationTable table;
   table.Apply(Start("a"), Millis(0));
   table.Apply(Start("a"), Millis(10'000));
-  table.Apply(End("a"), Millis(11'000));
+  table.Apply(Finish("a"), Millis(11'000));
   CHECK(table.Apply(Start("a"), Millis(14'999)) ==
         EvacuationOutcome::kDeferred);
 }
@@ -86,7 +88,7 @@
 TEST_CASE("a deferred request does not count as accepted") {
   EvacuationTable table;
   table.Apply(Start("a"), Millis(0));
-  table.Apply(End("a"), Millis(1'000));
+  table.Apply(Finish("a"), Millis(1'000));
   for (int64_t at = 1'000; at < 5'000; at += 500)
     CHECK(table.Apply(Start("a"), Millis(at)) == EvacuationOutcome::kDeferred);
   CHECK(table.Apply(Start("a"), Millis(5'000)) == EvacuationOutcome::kChanged);
@@ -98,7 +100,7 @@
   EvacuationTable table;
   table.Apply(Start("a"), Millis(0));
   table.Apply(Start("b"), Millis(0));
-  table.Apply(End("b"), Millis(2'000));
+  table.Apply(Finish("b"), Millis(2'000));
   EvacuationTable restored;
   restored.Restore(table.Save());
   CHECK(restored.IsEvacuated("a"));
@@ -112,8 +114,8 @@
 TEST_CASE("old entries are removed unless the data centre is evacuated") {
   EvacuationTable table;
   table.Apply(Start("a"), Millis(0));
-  table.Apply(End("b"), Millis(0));
-  table.Apply(End("c"), Millis::FromSeconds(3'600));
+  table.Apply(Finish("b"), Millis(0));
+  table.Prune(Millis::FromSeconds(3'600));
   CHECK(table.IsEvacuated("a"));
   CHECK(table.Find("b") == nullptr);
 }
--- a/tests/net/memory_budget_test.cc
+++ b/tests/net/memory_budget_test.cc
@@ -123,14 +123,15 @@
   CHECK_FALSE(there.is_aborted);
 }
 
-TEST_CASE("a request that can never fit is refused and aborts nothing") {
+// Guards against a client that announces a large body to have others aborted.
+TEST_CASE("an announced size aborts no reception") {
   MemoryBudget budget(kOptions);
   FakeReception reception(budget);
   REQUIRE(reception.charge.Add(50, Millis(0)));
-  CHECK_FALSE(budget.MakeRoom(111, Millis(10'000)));
+  CHECK_FALSE(budget.CanFit(111, Millis(10'000)));
+  CHECK_FALSE(budget.CanFit(110, Millis(999)));
+  CHECK(budget.CanFit(110, Millis(10'000)));
   CHECK_FALSE(reception.is_aborted);
-  CHECK(budget.MakeRoom(110, Millis(10'000)));
-  CHECK(reception.is_aborted);
 }
 
 TEST_CASE("a reception releases its charge when it is destroyed") {
--- a/tests/net/operator_front_end_test.cc
+++ b/tests/net/operator_front_end_test.cc
@@ -140,6 +140,14 @@
       std::string(R"({"operation_id": "op-2", "job": )") + kJob + "}";
   CHECK(server.Call("POST", "/v1/jobs", job).body == R"({"job":41})");
   CHECK(service.submitted.spec.resources.cpu_millicores == 500);
+  CHECK(server
+            .Call("POST", "/v1/data-centres/dc1/evacuation",
+                  R"({"evacuated": false})")
+            .body == R"({"done":true})");
+  CHECK(service.evacuation.data_centre == "dc1");
+  CHECK_FALSE(service.evacuation.is_evacuated);
+  CHECK(server.Call("GET", "/v1/data-centres").body.find(R"("name":"dc1")") !=
+        std::string::npos);
   CHECK(server.Call("POST", "/v1/jobs/cancel", R"({"jobs": [41, 42]})").body ==
         R"({"cancelled":2})");
   CHECK(server.Call("GET", "/v1/jobs/41").body.find(R"("id":41)") !=
--- a/tests/support/workflow_cluster.cc
+++ b/tests/support/workflow_cluster.cc
@@ -150,6 +150,7 @@
   announcement.worker_incarnation = agent.worker.worker_incarnation;
   announcement.address = FakeRunWorker::kAddress;
   announcement.attributes.service = "svc";
+  announcement.attributes.data_centre = agent.data_centre;
   announcement.attributes.labels = agent.labels;
   announcement.attributes.cpu_millicores = agent.capacity.cpu_millicores;
   announcement.attributes.memory_mib = agent.capacity.memory_mib;
--- a/tests/support/workflow_cluster.h
+++ b/tests/support/workflow_cluster.h
@@ -42,6 +42,7 @@
     /// When the leader last received a report.
     Millis reported_at;
     Resources capacity{4'000, 4'096, 0};
+    std::string data_centre;
     std::vector<std::string> labels;
   };
 
