--- a/source/agent/workflow_runner.cc
+++ b/source/agent/workflow_runner.cc
@@ -166,9 +166,9 @@
     RefuseRun(instruction.task, RunOutcome::kRefused);
     return;
   }
-  const bool may_start = m_worker && !m_is_evacuated &&
-                         !m_worker->is_draining && !m_is_deregistered &&
-                         !m_is_shutting_down && m_has_polled &&
+  const bool may_start = m_worker && !m_worker->is_draining &&
+                         !m_is_deregistered && !m_is_shutting_down &&
+                         m_has_polled &&
                          !m_candidates.HasAddress(m_worker->address);
   if (!may_start) {
     // Without a final refusal control repeats the instruction until the agent
--- a/source/daemon/client_limit_monitor.cc
+++ b/source/daemon/client_limit_monitor.cc
@@ -32,27 +32,31 @@
     return;
   m_next_check = now + kCheckInterval;
   m_requests.AbortClosed(now);
-  Log();
+  Log("requests", m_requests, m_logged_requests);
+  if (m_messages)
+    Log("messages", *m_messages, m_logged_messages);
 }
 
-void ClientLimitMonitor::Log() {
-  const int64_t refusals = CountRefusals(m_requests);
-  if (refusals == m_logged_refusals)
+void ClientLimitMonitor::Log(std::string_view kind,
+                             const MemoryBudget& budget,
+                             int64_t& logged) {
+  const int64_t refusals = CountRefusals(budget);
+  if (refusals == logged)
     return;
   m_decisions.Write(
-      DecisionLine("requests_over_limit")
-          .With("refused_or_aborted", refusals - m_logged_refusals)
-          .With("unfinished",
-                static_cast<int64_t>(m_requests.reception_count()))
-          .With("held_bytes", static_cast<int64_t>(m_requests.used()))
-          .With("limit_bytes",
-                static_cast<int64_t>(m_requests.options().limit)));
-  m_logged_refusals = refusals;
+      DecisionLine("clients_over_limit")
+          .With("kind", kind)
+          .With("refused_or_aborted", refusals - logged)
+          .With("unfinished", static_cast<int64_t>(budget.reception_count()))
+          .With("held_bytes", static_cast<int64_t>(budget.used()))
+          .With("limit_bytes", static_cast<int64_t>(budget.options().limit)));
+  logged = refusals;
 }
 
 void ClientLimitMonitor::AddDiagnostics(DiagnosticsFrontEnd& diagnostics,
                                         EventLoop& loop,
                                         const MemoryBudget& messages) {
+  m_messages = &messages;
   diagnostics.AddState("client_limits", loop,
                        [this, &messages] { return DumpState(messages); });
   diagnostics.AddCounters("requests", loop, m_requests.counters());
--- a/source/daemon/client_limit_monitor.h
+++ b/source/daemon/client_limit_monitor.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "source/base/decision_log.h"
 #include "source/net/client_limits.h"
@@ -31,13 +32,18 @@
 
  private:
   std::string DumpState(const MemoryBudget& messages) const;
-  void Log();
+  /// Logs the refusals of a budget since the last line; `logged` is their
+  /// number then.
+  void Log(std::string_view kind, const MemoryBudget& budget, int64_t& logged);
 
   const ClientLimits m_limits;
   DecisionLog& m_decisions;
   MemoryBudget m_requests;
   Millis m_next_check;
-  int64_t m_logged_refusals = 0;
+  int64_t m_logged_requests = 0;
+  // Memory for messages of other processes; null until AddDiagnostics().
+  const MemoryBudget* m_messages = nullptr;
+  int64_t m_logged_messages = 0;
 };
 
 }  // namespace fulmarrock
--- a/source/net/http2_connection.cc
+++ b/source/net/http2_connection.cc
@@ -26,7 +26,6 @@
 constexpr size_t kMaxNodeIdBytes = 128;
 // Memory of a stream besides its body, with what nghttp2 keeps of it.
 constexpr size_t kStreamBytes = 1024;
-constexpr size_t kMinBodyCapacity = 4 * 1024;
 constexpr Millis kPingInterval{500};
 // An agent keeps idle connections to the control members that are not leader.
 constexpr Millis kIdlePingInterval{15'000};
@@ -88,12 +87,11 @@
     if (!self.m_charge.Add(bytes, self.m_loop.clock().Now()))
       return false;
     stream.charged += bytes;
-    // Making room may have aborted this connection.
-    return !self.m_is_closed;
+    return true;
   }
 
   static int FailForMemory(Http2Connection& self) {
-    return Fail(self, ErrorKind::kResourceExhausted,
+    return Fail(self, ErrorKind::kUnavailable,
                 "no memory is left for unfinished messages");
   }
 
@@ -144,8 +142,7 @@
     }
     const size_t new_size = stream.body.size() + size;
     if (new_size > stream.body.capacity()) {
-      const size_t capacity =
-          std::max({new_size, 2 * stream.body.capacity(), kMinBodyCapacity});
+      const size_t capacity = NextBodyCapacity(stream.body, new_size);
       if (!Charge(self, stream, kStreamBytes + capacity - stream.charged))
         return FailForMemory(self);
       stream.body.reserve(capacity);
@@ -358,8 +355,8 @@
   }
   m_stream_bytes = 0;
   m_charge.Release();
-  Close({ErrorKind::kResourceExhausted,
-         "an unfinished message was given up for lack of memory or time",
+  Close({ErrorKind::kUnavailable,
+         "an unfinished message was aborted for lack of memory or time",
          "none needed, the connection is opened again"});
 }
 
--- a/source/net/http2_transport.cc
+++ b/source/net/http2_transport.cc
@@ -235,7 +235,7 @@
       return;
     }
     if (m_incoming.size() >= m_options.max_incoming_connections &&
-        !CloseUnusedConnection()) {
+        !CloseConnectionWithoutMessages()) {
       m_counters.Add("transport_refused_connections");
       continue;
     }
@@ -250,7 +250,7 @@
   }
 }
 
-bool Http2Transport::CloseUnusedConnection() {
+bool Http2Transport::CloseConnectionWithoutMessages() {
   auto chosen = m_incoming.end();
   for (auto it = m_incoming.begin(); it != m_incoming.end(); ++it) {
     const bool is_better =
@@ -428,6 +428,9 @@
     case ErrorKind::kResourceExhausted:
       m_counters.Add("transport_oversized_frames");
       break;
+    case ErrorKind::kUnavailable:
+      m_counters.Add("transport_aborted_receptions");
+      break;
     default:
       m_counters.Add("transport_io_errors");
   }
--- a/source/net/http2_transport.h
+++ b/source/net/http2_transport.h
@@ -92,7 +92,7 @@
   void PauseAccepting();
   /// Closes the incoming connection that has been idle longest among those that
   /// have not sent a message. Returns false if there is none.
-  bool CloseUnusedConnection();
+  bool CloseConnectionWithoutMessages();
   void ScheduleTick();
   void OnTick();
   void CheckPeer(Peer& peer);
--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -26,9 +26,6 @@
 constexpr unsigned kMinExcessConnections = 16;
 constexpr unsigned kMaxExcessConnections = 64;
 
-// First allocation for a body; it doubles until the body fits.
-constexpr size_t kMinBodyCapacity = 4 * 1024;
-
 // When a client that was refused for lack of memory may return.
 constexpr const char* kRetryAfterSeconds = "1";
 
@@ -288,8 +285,7 @@
   /// Makes room for a body of this size, within the memory budget.
   static bool Grow(HttpServer& server, Call& call, size_t size) {
     std::string& body = call.request.body;
-    const size_t capacity =
-        std::max({size, 2 * body.capacity(), kMinBodyCapacity});
+    const size_t capacity = NextBodyCapacity(body, size);
     if (!call.charge.Add(capacity - call.charge.bytes(),
                          server.m_loop.clock().Now())) {
       return false;
--- a/source/net/memory_budget.cc
+++ b/source/net/memory_budget.cc
@@ -4,6 +4,11 @@
 #include <vector>
 
 namespace fulmarrock {
+namespace {
+
+constexpr size_t kMinBodyCapacity = 4 * 1024;
+
+}  // namespace
 
 bool MemoryBudget::Charge::Add(size_t bytes, Millis now) {
   const size_t counted =
@@ -109,4 +114,8 @@
   charge.Release();
 }
 
+size_t NextBodyCapacity(const std::string& body, size_t size) {
+  return std::max({size, 2 * body.capacity(), kMinBodyCapacity});
+}
+
 }  // namespace fulmarrock
--- a/source/net/memory_budget.h
+++ b/source/net/memory_budget.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <string>
 
 #include "source/base/counters.h"
 #include "source/base/millis.h"
@@ -117,6 +118,11 @@
   Counters m_counters;
 };
 
+/// Returns the capacity to reserve so that a body of `size` bytes fits into
+/// `body`. It doubles, so that a body that arrives in small pieces is not
+/// copied for each of them.
+size_t NextBodyCapacity(const std::string& body, size_t size);
+
 }  // namespace fulmarrock
 
 #endif  // SOURCE_NET_MEMORY_BUDGET_H_
