Config: Take what a process may use from its settings

The limits on clients derived from what the operating system tells a process. Where that is the whole host, for example in a control group, the defaults did not keep a process within its instance's memory.

--- a/source/config/settings.cc
+++ b/source/config/settings.cc
@@ -143,6 +143,8 @@
     return Millis(
         reader.Integer(name, kMinLimitMs, kMaxLimitMs, fallback.count()));
   };
+  limits.process_memory_mib = memory("process_memory_mib");
+  limits.process_descriptors = connections("process_descriptors");
   limits.request_memory_mib = memory("request_memory_mib");
   limits.message_memory_mib = memory("message_memory_mib");
   limits.caller_connections = connections("caller_connections");
--- a/source/config/settings.h
+++ b/source/config/settings.h
@@ -79,6 +79,10 @@
 /// What the clients of a process may use of it. Zero derives a memory size or a
 /// number of connections from the limits of the process.
 struct ClientLimitSettings {
+  /// Memory and descriptors that the process may use; zero if only the limits
+  /// of the operating system apply.
+  int64_t process_memory_mib = 0;
+  int64_t process_descriptors = 0;
   int64_t request_memory_mib = 0;
   int64_t message_memory_mib = 0;
   int64_t caller_connections = 0;
--- a/source/net/client_limits.cc
+++ b/source/net/client_limits.cc
@@ -66,8 +66,14 @@
 
 ClientLimits MakeClientLimits(const ClientLimitSettings& settings,
                               const ProcessLimits& process) {
-  const size_t memory = process.memory_bytes;
-  const size_t descriptors = process.descriptors;
+  size_t memory = process.memory_bytes;
+  if (settings.process_memory_mib > 0)
+    memory = std::min(memory, static_cast<size_t>(settings.process_memory_mib)
+                                  << 20);
+  size_t descriptors = process.descriptors;
+  if (settings.process_descriptors > 0)
+    descriptors = std::min(descriptors,
+                           static_cast<size_t>(settings.process_descriptors));
   ClientLimits limits;
   limits.request_memory =
       MemoryShare(settings.request_memory_mib, kRequestMemoryPercent, memory);
--- a/tests/net/client_limits_test.cc
+++ b/tests/net/client_limits_test.cc
@@ -35,6 +35,18 @@
   CHECK(large.peer_connections == 65'536);
 }
 
+// Guards against limits that are derived from the host of a process which may
+// use only a part of it.
+TEST_CASE("settings tell what the process may use") {
+  ClientLimitSettings settings;
+  settings.process_memory_mib = 160;
+  settings.process_descriptors = 4'096;
+  const ClientLimits limits =
+      MakeClientLimits(settings, {SIZE_MAX, size_t{1} << 20});
+  CHECK(limits.request_memory < 32 * kMib);
+  CHECK(limits.caller_connections == 1'024);
+}
+
 TEST_CASE("settings replace derived limits") {
   ClientLimitSettings settings;
   settings.request_memory_mib = 3;
