--- a/source/net/http_server.cc
+++ b/source/net/http_server.cc
@@ -1,6 +1,7 @@
 #include "source/net/http_server.h"
 
 #include <microhttpd.h>
+#include <poll.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
@@ -101,8 +102,8 @@
       return false;
     const auto* info =
         MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    char byte = 0;
-    return ::recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    pollfd socket{info->connect_fd, POLLRDHUP, 0};
+    return ::poll(&socket, 1, 0) == 1;
   }
 
   ConnectionNumber connection_number() const { return NumberOf(connection); }
