--- a/source/daemon/client_limit_monitor.cc
+++ b/source/daemon/client_limit_monitor.cc
@@ -7,8 +7,8 @@
 namespace fulmarrock {
 namespace {
 
-/// How often clients that went away are looked for, and clients that exceeded
-/// the limits are logged.
+/// How often closed connections are looked for, and clients that exceeded the
+/// limits are logged.
 constexpr Millis kCheckInterval{1'000};
 
 int64_t CountRefusals(const MemoryBudget& budget) {
--- a/source/net/memory_budget.h
+++ b/source/net/memory_budget.h
@@ -85,8 +85,8 @@
   MemoryBudget(const MemoryBudget&) = delete;
   MemoryBudget& operator=(const MemoryBudget&) = delete;
 
-  /// Whether a new holder may hold so many bytes now, if receptions are aborted
-  /// in its favour. Aborts none: their sender may have announced them only.
+  /// Whether a new holder may hold so many bytes now, if older receptions
+  /// are aborted. Aborts none: the client may have announced the bytes only.
   bool CanFit(size_t bytes, Millis now);
 
   /// Aborts receptions that began more than `timeout` ago.
